--- /dev/null
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/configuration/ConfigurationState.kt
@@ -0,0 +1,14 @@
+package dev.hibiscusreach.core.configuration
+
+import dev.hibiscusreach.core.model.Configuration
+import dev.hibiscusreach.core.model.ConfigurationIndex
+
+/** The configuration in force and the state of its dissemination. */
+data class ConfigurationState(
+    val index: ConfigurationIndex = ConfigurationIndex(Configuration()),
+    /** Identifiers of the latest edits, newest last. */
+    val recentChanges: List<String> = emptyList(),
+) {
+    /** Whether any configuration was ever taken over. */
+    val isLoaded: Boolean get() = index.generation > 0
+}
--- /dev/null
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/event/PeerMessage.kt
@@ -0,0 +1,131 @@
+package dev.hibiscusreach.core.event
+
+import dev.hibiscusreach.core.model.CallerAnswer
+import dev.hibiscusreach.core.model.CallerName
+import dev.hibiscusreach.core.model.CallerRequest
+import dev.hibiscusreach.core.model.Configuration
+import dev.hibiscusreach.core.model.DatabaseName
+import dev.hibiscusreach.core.model.FailureDomainName
+import dev.hibiscusreach.core.model.NodeIdentity
+import dev.hibiscusreach.core.model.ServerName
+import dev.hibiscusreach.core.model.Term
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** What a node believes of a peer. */
+@Serializable
+enum class PeerCondition { ALIVE, SUSPECTED, DRAINING, GONE }
+
+/** One entry of the gossip about the fleet's members. */
+@Serializable
+data class PeerUpdate(
+    val node: NodeIdentity,
+    val failureDomain: FailureDomainName,
+    val condition: PeerCondition,
+    /** Raised by the node itself to refute a suspicion. */
+    val refutation: Int = 0,
+)
+
+/** A message between two proxies. */
+@Serializable
+sealed interface PeerMessage {
+    /** Asks the receiver for an [Acknowledgement]. */
+    @Serializable
+    @SerialName("ping")
+    data class Ping(
+        val sequence: Long,
+        val updates: List<PeerUpdate>,
+        val generation: Long,
+        /** Set if the ping was asked for by another node, which gets the acknowledgement passed on. */
+        val onBehalfOf: NodeIdentity? = null,
+    ) : PeerMessage
+
+    /** Answers a [Ping]. */
+    @Serializable
+    @SerialName("acknowledgement")
+    data class Acknowledgement(
+        val sequence: Long,
+        val updates: List<PeerUpdate>,
+        val generation: Long,
+        /** The node that was pinged, if the acknowledgement was passed on. */
+        val target: NodeIdentity? = null,
+    ) : PeerMessage
+
+    /** Asks the receiver to ping [target] and to pass the acknowledgement on. */
+    @Serializable
+    @SerialName("indirectPing")
+    data class IndirectPing(val sequence: Long, val target: NodeIdentity) : PeerMessage
+
+    /** Tells that the sender has the configuration of [generation]. */
+    @Serializable
+    @SerialName("configurationAnnounced")
+    data class ConfigurationAnnounced(val generation: Long) : PeerMessage
+
+    /** Asks for the receiver's configuration if it is above [haveGeneration]. */
+    @Serializable
+    @SerialName("configurationRequested")
+    data class ConfigurationRequested(val haveGeneration: Long) : PeerMessage
+
+    /** The sender's whole configuration. */
+    @Serializable
+    @SerialName("configurationDelivered")
+    data class ConfigurationDelivered(
+        val configuration: Configuration,
+        val recentChanges: List<String> = emptyList(),
+    ) : PeerMessage
+
+    /** Asks a monitor whether it sees the primary of [database] in [term]. */
+    @Serializable
+    @SerialName("sightingRequested")
+    data class SightingRequested(val database: DatabaseName, val term: Term) : PeerMessage
+
+    /** Answers [SightingRequested]. */
+    @Serializable
+    @SerialName("sightingReported")
+    data class SightingReported(val database: DatabaseName, val term: Term, val seen: Boolean) : PeerMessage
+
+    /** Tells the primary of a term that the sender knows to have been promoted. */
+    @Serializable
+    @SerialName("groupAnnounced")
+    data class GroupAnnounced(val database: DatabaseName, val term: Term, val primary: ServerName) : PeerMessage
+
+    /** A caller's request that the receiver should carry out. */
+    @Serializable
+    @SerialName("forwardedRequest")
+    data class ForwardedRequest(
+        val arrival: ArrivalNumber,
+        /** Nodes that have forwarded the request, to end loops. */
+        val hops: Int,
+        val request: CallerRequest,
+    ) : PeerMessage
+
+    /** Answers [ForwardedRequest] with the sender's [arrival]. */
+    @Serializable
+    @SerialName("forwardedAnswer")
+    data class ForwardedAnswer(val arrival: ArrivalNumber, val answer: CallerAnswer) : PeerMessage
+
+    /** The sender closed [count] connections to [server], which the receiver may open; [last] ends the hand-over. */
+    @Serializable
+    @SerialName("sharesReleased")
+    data class SharesReleased(val server: ServerName, val count: Int, val last: Boolean) : PeerMessage
+
+    /** Asks for connection permits of [caller]. */
+    @Serializable
+    @SerialName("permitsRequested")
+    data class PermitsRequested(val sequence: Long, val caller: CallerName, val count: Int) : PeerMessage
+
+    /** Grants permits for one lease; [count] may be lower than asked, also 0. */
+    @Serializable
+    @SerialName("permitsGranted")
+    data class PermitsGranted(val sequence: Long, val caller: CallerName, val count: Int) : PeerMessage
+
+    /** Gives permits back before their lease ends. */
+    @Serializable
+    @SerialName("permitsReturned")
+    data class PermitsReturned(val sequence: Long, val caller: CallerName, val count: Int) : PeerMessage
+
+    /** A message of a type that this version does not know; ignored. */
+    @Serializable
+    @SerialName("unknown")
+    data object Unknown : PeerMessage
+}
--- /dev/null
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/reducer/Part.kt
@@ -0,0 +1,40 @@
+package dev.hibiscusreach.core.reducer
+
+import dev.hibiscusreach.core.event.Effect
+import dev.hibiscusreach.core.event.Event
+import dev.hibiscusreach.core.event.Signal
+import dev.hibiscusreach.core.model.MonotonicTime
+
+/** What a part may use besides state and event. */
+data class StepContext(
+    val now: MonotonicTime,
+    /** Time since the epoch by this host's clock, only for times that callers give. */
+    val wallClockMillis: Long,
+    /** A random number that differs for each event. */
+    val random: Long,
+)
+
+/** The result of one part handling one event. */
+data class Step(
+    val state: ProxyState,
+    val effects: List<Effect> = emptyList(),
+    val signals: List<Signal> = emptyList(),
+) {
+    /** Lets [next] continue from this step's state and joins the effects and signals. */
+    fun then(next: (ProxyState) -> Step): Step {
+        val following = next(state)
+        return Step(following.state, effects + following.effects, signals + following.signals)
+    }
+
+    /** This step with more effects. */
+    fun withEffects(vararg more: Effect): Step = copy(effects = effects + more)
+
+    /** This step with more signals. */
+    fun withSignals(vararg more: Signal): Step = copy(signals = signals + more)
+}
+
+/** One part of the reducer. It reads the whole state and changes only its own slice. */
+fun interface Part {
+    /** Handles [event]; returns the state unchanged for events that do not concern the part. */
+    fun handle(state: ProxyState, event: Event, context: StepContext): Step
+}
--- /dev/null
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/reducer/ProxySettings.kt
@@ -0,0 +1,81 @@
+package dev.hibiscusreach.core.reducer
+
+import dev.hibiscusreach.core.model.Endpoint
+import dev.hibiscusreach.core.model.FailureDomainName
+import dev.hibiscusreach.core.model.Millis
+import dev.hibiscusreach.core.model.NodeIdentity
+import dev.hibiscusreach.core.model.inSeconds
+import dev.hibiscusreach.core.model.milliseconds
+
+/** What the decisions of one process depend on besides the configuration. */
+data class ProxySettings(
+    val self: NodeIdentity,
+    val failureDomain: FailureDomainName,
+    val seeds: List<Endpoint> = emptyList(),
+    val membership: MembershipSettings = MembershipSettings(),
+    val group: GroupSettings = GroupSettings(),
+    val pool: PoolSettings = PoolSettings(),
+    val request: RequestSettings = RequestSettings(),
+)
+
+/** Timing of the membership protocol, the host list and the configuration's dissemination. */
+data class MembershipSettings(
+    val period: Millis = 500.milliseconds,
+    val pingTimeout: Millis = 400.milliseconds,
+    val suspicionTimeout: Millis = 2.inSeconds,
+    val indirectPings: Int = 3,
+    val announcementFanOut: Int = 3,
+    val watchersPerFailureDomain: Int = 2,
+    val watchWait: Millis = 25.inSeconds,
+    val platformTimeout: Millis = 2.inSeconds,
+    val hostListPeriod: Millis = 10.inSeconds,
+    /** A timer that fires this much too late means that the process was paused. */
+    val pauseThreshold: Millis = 2.inSeconds,
+)
+
+/** Timing of probes and failover. */
+data class GroupSettings(
+    val probePeriod: Millis = 250.milliseconds,
+    val probeTimeout: Millis = 1.inSeconds,
+    val suspicionAfter: Millis = 1.inSeconds,
+    val sightingWait: Millis = 300.milliseconds,
+    val proposerStagger: Millis = 700.milliseconds,
+    val fenceWait: Millis = 200.milliseconds,
+    val failoverTimeout: Millis = 3.inSeconds,
+)
+
+/** Sizes and timing of the connection pools, queues and caller permits. */
+data class PoolSettings(
+    val queueLimit: Int = 64,
+    val queueWait: Millis = 1.inSeconds,
+    val period: Millis = 100.milliseconds,
+    val idleProbeAfter: Millis = 5.inSeconds,
+    val idleProbeTimeout: Millis = 2.inSeconds,
+    val openTimeout: Millis = 2.inSeconds,
+    val takeoverDelay: Millis = 3.inSeconds,
+    val permitLease: Millis = 5.inSeconds,
+    val permitMargin: Millis = 1.inSeconds,
+)
+
+/** Limits and timing of requests. */
+data class RequestSettings(
+    val freshReplicaWait: Millis = 50.milliseconds,
+    val commandTimeout: Millis = 2.inSeconds,
+    val maximumDeadline: Millis = 30.inSeconds,
+    val maximumAttempts: Int = 3,
+    val retryBudgetPercent: Int = 10,
+    val retryBudgetBurst: Int = 10,
+    val requestRetention: Millis = REQUEST_RETENTION_SECONDS.inSeconds,
+    val clockTolerance: Millis = CLOCK_TOLERANCE_SECONDS.inSeconds,
+    val transactionIdleLimit: Millis = 5.inSeconds,
+    val transactionLifeLimit: Millis = 30.inSeconds,
+    val maximumInFlight: Int = 20_000,
+    val maximumHops: Int = 2,
+    val leavingNotice: Millis = 1.inSeconds,
+    val drainLimit: Millis = 10.inSeconds,
+)
+
+/** One hour below the 24 hours for which databases keep idempotency records. */
+private const val REQUEST_RETENTION_SECONDS = 23 * 60 * 60
+
+private const val CLOCK_TOLERANCE_SECONDS = 5 * 60
--- /dev/null
+++ b/daemon/src/main/kotlin/dev/hibiscusreach/daemon/Module.kt
@@ -0,0 +1,3 @@
+package dev.hibiscusreach.daemon
+
+internal const val MODULE_NAME = "daemon"
--- /dev/null
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/Module.kt
@@ -0,0 +1,3 @@
+package dev.hibiscusreach.runtime
+
+internal const val MODULE_NAME = "runtime"
--- /dev/null
+++ b/standins/src/main/kotlin/dev/hibiscusreach/standins/Module.kt
@@ -0,0 +1,3 @@
+package dev.hibiscusreach.standins
+
+internal const val MODULE_NAME = "standins"
