Add connection pools and caller permits

The home of a database holds its failure domain's share of the servers' connections. A share moves to a new home only as the old one releases it, or after the takeover delay. Waiting attempts are served round robin between callers, in a queue bounded in length and time. A caller's connection limit is divided over the failure domains and lent as leases; a domain that is short borrows from another one. A new permit home asks its predecessor for open loans or waits until they have expired. Leases are 3 s with a margin of 500 ms in place of 5 s and 1 s, so that the wait after a cold start is about the takeover delay.

--- a/core/src/main/kotlin/dev/hibiscusreach/core/event/PeerMessage.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/event/PeerMessage.kt
@@ -26,6 +26,10 @@
     val refutation: Int = 0,
 )
 
+/** Permits that a permit home has lent, as told to its successor. */
+@Serializable
+data class PermitLoan(val borrower: NodeIdentity, val sequence: Long, val count: Int, val remainingMillis: Long)
+
 /** A message between two proxies. */
 @Serializable
 sealed interface PeerMessage {
@@ -109,20 +113,37 @@
     @SerialName("sharesReleased")
     data class SharesReleased(val server: ServerName, val count: Int, val last: Boolean) : PeerMessage
 
-    /** Asks for connection permits of [caller]. */
+    /**
+     * Asks for a lease of [count] connection permits of [caller], in place of the sender's earlier lease. A sender that
+     * asks for fewer than it has already uses no more than [count].
+     */
     @Serializable
     @SerialName("permitsRequested")
     data class PermitsRequested(val sequence: Long, val caller: CallerName, val count: Int) : PeerMessage
 
-    /** Grants permits for one lease; [count] may be lower than asked, also 0. */
+    /** Grants a lease of permits, counted from the request; [count] may be lower than asked, also 0. */
     @Serializable
     @SerialName("permitsGranted")
-    data class PermitsGranted(val sequence: Long, val caller: CallerName, val count: Int) : PeerMessage
+    data class PermitsGranted(
+        val sequence: Long,
+        val caller: CallerName,
+        val count: Int,
+        val leaseMillis: Long,
+    ) : PeerMessage
 
-    /** Gives permits back before their lease ends. */
+    /** Asks for the loans that the receiver has granted as the permit home of [caller]. */
     @Serializable
-    @SerialName("permitsReturned")
-    data class PermitsReturned(val sequence: Long, val caller: CallerName, val count: Int) : PeerMessage
+    @SerialName("permitBookRequested")
+    data class PermitBookRequested(val caller: CallerName) : PeerMessage
+
+    /** Answers [PermitBookRequested]. The new permit home grants nothing of its own for [quietMillis]. */
+    @Serializable
+    @SerialName("permitBookDelivered")
+    data class PermitBookDelivered(
+        val caller: CallerName,
+        val loans: List<PermitLoan>,
+        val quietMillis: Long,
+    ) : PeerMessage
 
     /** A message of a type that this version does not know; ignored. */
     @Serializable
--- a/core/src/main/kotlin/dev/hibiscusreach/core/pool/PoolsPart.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/pool/PoolsPart.kt
@@ -1,6 +1,13 @@
 package dev.hibiscusreach.core.pool
 
+import dev.hibiscusreach.core.event.Effect
 import dev.hibiscusreach.core.event.Event
+import dev.hibiscusreach.core.event.PartName
+import dev.hibiscusreach.core.event.PeerMessage
+import dev.hibiscusreach.core.event.Signal
+import dev.hibiscusreach.core.event.TimerKey
+import dev.hibiscusreach.core.model.MonotonicTime
+import dev.hibiscusreach.core.model.NodeIdentity
 import dev.hibiscusreach.core.reducer.Part
 import dev.hibiscusreach.core.reducer.ProxyState
 import dev.hibiscusreach.core.reducer.Step
@@ -8,5 +15,85 @@
 
 /** Owns the session connections to backend servers and the permits of callers. */
 internal class PoolsPart : Part {
-    override fun handle(state: ProxyState, event: Event, context: StepContext): Step = Step(state)
+    override fun handle(state: ProxyState, event: Event, context: StepContext): Step =
+        when (event) {
+            is Event.Started -> start(state, context.now)
+            is Event.TimerFired -> if (event.key == TimerKey.PoolPeriod) maintain(state, context.now) else Step(state)
+            is Event.PeerMessageReceived -> receive(state, event.from, event.message, context.now)
+            is Signal -> handleSignal(state, event, context.now)
+            else -> handleConnection(state, event, context.now)
+        }
+
+    private fun handleConnection(state: ProxyState, event: Event, now: MonotonicTime): Step =
+        when (event) {
+            is Event.ConnectionOpened -> ConnectionLifecycle.opened(state, event.connection, now)
+            is Event.ConnectionOpenFailed ->
+                ConnectionLifecycle.openFailed(state, event.connection, event.failure, now)
+            is Event.ConnectionClosed -> ConnectionLifecycle.closed(state, event.connection)
+            is Event.SessionAnswered ->
+                if (event.attempt.owner == PartName.POOLS) {
+                    ConnectionChecks.checked(state, event.connection, event.answer, now)
+                } else {
+                    Step(state)
+                }
+            else -> Step(state)
+        }
+
+    private fun handleSignal(state: ProxyState, signal: Signal, now: MonotonicTime): Step =
+        when (signal) {
+            is Signal.ConnectionWanted -> ConnectionQueue.want(state, signal, now)
+            is Signal.ConnectionNotWanted -> ConnectionQueue.withdraw(state, signal.attempt)
+            is Signal.ConnectionReturned ->
+                ConnectionDispatch.returned(state, signal.connection, signal.condition, now)
+            is Signal.MembershipChanged, is Signal.ConfigurationChanged, is Signal.DrainAdvanced ->
+                ShareRoles.evaluate(state, now)
+            is Signal.PeerGone -> noteLoss(state, signal.node, now)
+            is Signal.PauseDetected -> recoverFromPause(state, now)
+            else -> Step(state)
+        }
+
+    private fun receive(state: ProxyState, from: NodeIdentity, message: PeerMessage, now: MonotonicTime): Step =
+        when (message) {
+            is PeerMessage.SharesReleased -> ShareRoles.released(state, from, message, now)
+            is PeerMessage.PermitsRequested -> PermitLending.requested(state, from, message, now)
+            is PeerMessage.PermitsGranted ->
+                PermitBorrowing
+                    .granted(state, message, now)
+                    .then { DomainBorrowing.granted(it, from, message, now) }
+            is PeerMessage.PermitBookRequested -> PermitBooks.bookRequested(state, from, message.caller, now)
+            is PeerMessage.PermitBookDelivered -> PermitBooks.bookDelivered(state, message, now)
+            else -> Step(state)
+        }
+
+    private fun start(state: ProxyState, now: MonotonicTime): Step {
+        val permits = state.pools.permits.copy(lossAt = now)
+        return Step(state.copy(pools = state.pools.copy(permits = permits)))
+            .withEffects(Effect.StartTimer(TimerKey.PoolPeriod, state.settings.pool.period))
+            .then { ShareRoles.evaluate(it, now) }
+    }
+
+    private fun maintain(state: ProxyState, now: MonotonicTime): Step =
+        Step(state)
+            .withEffects(Effect.StartTimer(TimerKey.PoolPeriod, state.settings.pool.period))
+            .then { ShareRoles.expire(it, now) }
+            .then { ConnectionChecks.maintain(it, now) }
+            .then { ConnectionQueue.maintain(it, now) }
+            .then { PermitBorrowing.maintain(it, now) }
+            .then { PermitLending.maintain(it, now) }
+
+    private fun noteLoss(state: ProxyState, node: NodeIdentity, now: MonotonicTime): Step {
+        val isOwnDomain = state.membership.domainOf(node) == state.settings.failureDomain
+        val permits = state.pools.permits
+        return if (isOwnDomain) {
+            Step(state.copy(pools = state.pools.copy(permits = permits.copy(lossAt = now))))
+        } else {
+            Step(state)
+        }
+    }
+
+    private fun recoverFromPause(state: ProxyState, now: MonotonicTime): Step =
+        state.pools.pools.values
+            .flatMap { it.idle }
+            .fold(Step(state)) { step, number -> step.then { ConnectionRemoval.drop(it, number) } }
+            .then { ShareRoles.afterPause(it, now) }
 }
--- a/core/src/main/kotlin/dev/hibiscusreach/core/pool/PoolsState.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/pool/PoolsState.kt
@@ -1,9 +1,33 @@
 package dev.hibiscusreach.core.pool
 
+import dev.hibiscusreach.core.event.ConnectionNumber
+import dev.hibiscusreach.core.model.DatabaseName
 import dev.hibiscusreach.core.model.ServerName
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
 
 /** The session connections, their queues and the permits of callers. */
-class PoolsState {
+data class PoolsState(
+    val roles: PersistentMap<DatabaseName, ShareRole> = persistentMapOf(),
+    val pools: PersistentMap<ServerName, ServerPool> = persistentMapOf(),
+    val connections: PersistentMap<ConnectionNumber, PooledConnection> = persistentMapOf(),
+    val permits: PermitsState = PermitsState(),
+    /** Connections that this process may hold for each server, from its role and the inventory. */
+    val allowances: PersistentMap<ServerName, Int> = persistentMapOf(),
+    val nextConnection: Long = 1,
+    val nextAttempt: Long = 1,
+) {
     /** Connections of this process's share that could serve a request to [server] now; below 0 if requests wait. */
-    fun freeConnections(server: ServerName): Int = TODO("$server")
+    fun freeConnections(server: ServerName): Int {
+        val pool = pools[server]
+        return (allowances[server] ?: 0) - (pool?.busy ?: 0) - (pool?.queue?.size ?: 0)
+    }
+
+    /** This state with [pool] in its place, or removed if it holds nothing. */
+    internal fun with(pool: ServerPool): PoolsState =
+        copy(pools = if (pool.isUnused) pools.remove(pool.server) else pools.put(pool.server, pool))
+
+    /** This state with [connection] in its place. */
+    internal fun with(connection: PooledConnection): PoolsState =
+        copy(connections = connections.put(connection.number, connection))
 }
--- /dev/null
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/pool/ShareAllowances.kt
@@ -0,0 +1,37 @@
+package dev.hibiscusreach.core.pool
+
+import dev.hibiscusreach.core.model.DatabaseName
+import dev.hibiscusreach.core.model.ServerName
+import dev.hibiscusreach.core.reducer.DatabaseHomes
+import dev.hibiscusreach.core.reducer.ProxyState
+import dev.hibiscusreach.core.reducer.Step
+import kotlinx.collections.immutable.toPersistentMap
+
+/** Sets roles and the allowances that follow from them. */
+internal object ShareAllowances {
+    fun forget(state: ProxyState, database: DatabaseName): Step =
+        Step(state.copy(pools = state.pools.copy(roles = state.pools.roles.remove(database))))
+
+    fun withRole(state: ProxyState, database: DatabaseName, role: ShareRole): Step {
+        val group = state.configuration.index.group(database)
+        val domain = state.settings.failureDomain
+        val allowances =
+            group?.servers.orEmpty().associate { server ->
+                val share = DatabaseHomes.share(group!!, server, domain)
+                server.name to allowance(role, server.name, share)
+            }
+        val pools =
+            state.pools.copy(
+                roles = state.pools.roles.put(database, role),
+                allowances = (state.pools.allowances + allowances).toPersistentMap(),
+            )
+        return Step(state.copy(pools = pools))
+    }
+
+    private fun allowance(role: ShareRole, server: ServerName, share: Int): Int =
+        when (role) {
+            is ShareRole.Held -> share
+            is ShareRole.Acquiring -> minOf(share, role.released[server] ?: 0)
+            is ShareRole.Releasing -> 0
+        }
+}
--- a/core/src/main/kotlin/dev/hibiscusreach/core/reducer/ProxySettings.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/reducer/ProxySettings.kt
@@ -53,8 +53,10 @@
     val idleProbeTimeout: Millis = 2.inSeconds,
     val openTimeout: Millis = 2.inSeconds,
     val takeoverDelay: Millis = 3.inSeconds,
-    val permitLease: Millis = 5.inSeconds,
-    val permitMargin: Millis = 1.inSeconds,
+    val permitLease: Millis = 3.inSeconds,
+    val permitMargin: Millis = 500.milliseconds,
+    val permitRetry: Millis = 200.milliseconds,
+    val openRetry: Millis = 200.milliseconds,
 )
 
 /** Limits and timing of requests. */
