Add membership gossip and configuration dissemination

The membership and configuration parts were empty. Proxies now find each other through seeds and the platform's host list, detect failed and paused peers by SWIM-style pings, and share one configuration that watchers read from the platform and that spreads from peer to peer. A ping can ask for the receiver's whole view, and watchers report leaving hosts to their failure domain, which needs one field and one message more.

Two tests on simulated time show that eight processes with one seed find each other and that an accepted edit is in effect on all of them within a second.

--- /dev/null
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/configuration/Adoption.kt
@@ -0,0 +1,59 @@
+package dev.hibiscusreach.core.configuration
+
+import dev.hibiscusreach.core.event.CounterName
+import dev.hibiscusreach.core.event.Effect
+import dev.hibiscusreach.core.event.LogLevel
+import dev.hibiscusreach.core.event.PeerMessage
+import dev.hibiscusreach.core.event.Signal
+import dev.hibiscusreach.core.model.Configuration
+import dev.hibiscusreach.core.model.ConfigurationIndex
+import dev.hibiscusreach.core.reducer.ProxyState
+import dev.hibiscusreach.core.reducer.Step
+import dev.hibiscusreach.core.reducer.StepContext
+
+/** Where a configuration came from. */
+internal enum class ConfigurationSource { PLATFORM, PEER }
+
+/** Puts a higher generation into effect and announces it. The only place that changes the generation. */
+internal class Adoption(private val context: StepContext) {
+    /** Adopts [configuration] unless the generation in effect is the same or higher. */
+    fun adopt(
+        state: ProxyState,
+        configuration: Configuration,
+        recentChanges: List<String>,
+        source: ConfigurationSource,
+    ): Step =
+        if (configuration.generation <= state.configuration.index.generation) {
+            Step(state)
+        } else {
+            val adopted =
+                state.withConfiguration {
+                    copy(index = ConfigurationIndex(configuration), recentChanges = recentChanges)
+                }
+            Step(
+                adopted,
+                announcements(adopted) + report(configuration.generation, source),
+                listOf(Signal.ConfigurationChanged(configuration.generation)),
+            )
+        }
+
+    private fun announcements(state: ProxyState): List<Effect> =
+        state.membership
+            .livePeers()
+            .shuffled(context.randomFor("announcement"))
+            .take(state.settings.membership.announcementFanOut)
+            .map {
+                val message = PeerMessage.ConfigurationAnnounced(state.configuration.index.generation)
+                Effect.SendPeerMessage(it.node, message)
+            }
+
+    private fun report(generation: Long, source: ConfigurationSource): List<Effect> =
+        listOf(
+            Effect.Count(CounterName.CONFIGURATION_CHANGES, label = source.name.lowercase()),
+            Effect.Log(
+                LogLevel.INFO,
+                "configuration in effect",
+                mapOf("generation" to generation.toString(), "source" to source.name.lowercase()),
+            ),
+        )
+}
--- a/core/src/main/kotlin/dev/hibiscusreach/core/configuration/ConfigurationState.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/configuration/ConfigurationState.kt
@@ -8,6 +8,10 @@
     val index: ConfigurationIndex = ConfigurationIndex(Configuration()),
     /** Identifiers of the latest edits, newest last. */
     val recentChanges: List<String> = emptyList(),
+    /** What a watcher knows of the platform's store and does with it. */
+    val store: StoreState = StoreState(),
+    /** The request to a peer that is ahead, if one is outstanding. */
+    val pull: Pull? = null,
 ) {
     /** Whether any configuration was ever taken over. */
     val isLoaded: Boolean get() = index.generation > 0
--- a/core/src/main/kotlin/dev/hibiscusreach/core/event/PeerMessage.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/event/PeerMessage.kt
@@ -5,6 +5,7 @@
 import dev.hibiscusreach.core.model.CallerRequest
 import dev.hibiscusreach.core.model.Configuration
 import dev.hibiscusreach.core.model.DatabaseName
+import dev.hibiscusreach.core.model.Endpoint
 import dev.hibiscusreach.core.model.FailureDomainName
 import dev.hibiscusreach.core.model.NodeIdentity
 import dev.hibiscusreach.core.model.ServerName
@@ -38,6 +39,8 @@
         val generation: Long,
         /** Set if the ping was asked for by another node, which gets the acknowledgement passed on. */
         val onBehalfOf: NodeIdentity? = null,
+        /** Set while the sender does not know the fleet; the acknowledgement then has the receiver's whole view. */
+        val wantsView: Boolean = false,
     ) : PeerMessage
 
     /** Answers a [Ping]. */
@@ -56,6 +59,11 @@
     @SerialName("indirectPing")
     data class IndirectPing(val sequence: Long, val target: NodeIdentity) : PeerMessage
 
+    /** Tells the failure domain what one of its watchers read in the platform's host list. */
+    @Serializable
+    @SerialName("leavingHostsReported")
+    data class LeavingHostsReported(val servers: Set<ServerName>, val proxies: Set<Endpoint>) : PeerMessage
+
     /** Tells that the sender has the configuration of [generation]. */
     @Serializable
     @SerialName("configurationAnnounced")
--- /dev/null
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/membership/GossipExchange.kt
@@ -0,0 +1,65 @@
+package dev.hibiscusreach.core.membership
+
+import dev.hibiscusreach.core.event.Effect
+import dev.hibiscusreach.core.event.PeerCondition
+import dev.hibiscusreach.core.event.PeerMessage
+import dev.hibiscusreach.core.event.PeerUpdate
+import dev.hibiscusreach.core.event.TimerKey
+import dev.hibiscusreach.core.model.NodeIdentity
+import dev.hibiscusreach.core.reducer.ProxyState
+import dev.hibiscusreach.core.reducer.Step
+import dev.hibiscusreach.core.reducer.StepContext
+
+/** Answers pings, settles acknowledgements and learns from the updates that both carry. */
+internal class GossipExchange(private val context: StepContext) {
+    private val pings = Pings(context)
+    private val updates = PeerUpdates(context)
+    private val announcement = Announcement(context)
+
+    /** Handles a process having introduced itself on a new link. */
+    fun introduced(state: ProxyState, update: PeerUpdate): Step =
+        learn(state, listOf(update), spread = true)
+            .then { if (it.membership.isLive(update.node)) pings.probe(it, update.node) else Step(it) }
+
+    /** Answers the ping of [from]. */
+    fun pinged(state: ProxyState, from: NodeIdentity, ping: PeerMessage.Ping): Step =
+        learn(state, ping.updates, spread = true)
+            .then { pings.acknowledge(it, from, ping.sequence, wholeView = ping.wantsView) }
+
+    /** Ends the probe that the acknowledgement answers, and passes it on if another node asked for the ping. */
+    fun acknowledged(state: ProxyState, from: NodeIdentity, message: PeerMessage.Acknowledgement): Step {
+        val probe = state.membership.protocol.probes[message.sequence]
+        val matches = probe != null && probe.target == (message.target ?: from)
+        val answersView = matches && probe is Probe.Own && probe.wantsView && message.target == null
+        val settled = if (matches) settle(state, message.sequence, answersView) else Step(state)
+        return settled
+            .then { learn(it, message.updates, spread = !answersView) }
+            .then { if (matches && probe is Probe.Relayed) passOn(it, probe) else Step(it) }
+    }
+
+    private fun settle(state: ProxyState, sequence: Long, answersView: Boolean): Step =
+        Step(
+            state.withProtocol {
+                copy(probes = probes.remove(sequence), viewNeeded = viewNeeded && !answersView)
+            },
+            listOf(Effect.CancelTimer(TimerKey.PingTimeout(sequence))),
+        )
+
+    private fun passOn(state: ProxyState, probe: Probe.Relayed): Step =
+        pings.acknowledge(state, probe.requester, probe.requesterSequence, target = probe.target)
+
+    private fun learn(state: ProxyState, received: List<PeerUpdate>, spread: Boolean): Step {
+        val learned = updates.apply(state, received, spread)
+        val isRefuting = learned.state.membership.refutation > state.membership.refutation
+        val isUrgent = isRefuting || received.any { learnedOfDraining(state, learned.state, it) }
+        return if (isUrgent) learned.then { announcement.spread(it) } else learned
+    }
+
+    // Every peer that learns of a draining one passes it on at once, so that new work stops within a few round trips.
+    private fun learnedOfDraining(before: ProxyState, after: ProxyState, update: PeerUpdate): Boolean {
+        val endpoint = update.node.peerEndpoint
+        return update.condition == PeerCondition.DRAINING &&
+            before.membership.peers[endpoint]?.draining == false &&
+            after.membership.peers[endpoint]?.draining == true
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/membership/LeavingReports.kt
@@ -0,0 +1,54 @@
+package dev.hibiscusreach.core.membership
+
+import dev.hibiscusreach.core.event.Effect
+import dev.hibiscusreach.core.event.ListedHost
+import dev.hibiscusreach.core.event.PeerMessage
+import dev.hibiscusreach.core.event.Signal
+import dev.hibiscusreach.core.model.NodeIdentity
+import dev.hibiscusreach.core.reducer.ProxyState
+import dev.hibiscusreach.core.reducer.Step
+import dev.hibiscusreach.core.reducer.StepContext
+
+/** Passes the leaving hosts of the platform's list from the watchers to all processes of the failure domain. */
+internal class LeavingReports(private val context: StepContext) {
+    /** Records and reports the leaving ones of [hosts], which this process read. */
+    fun read(state: ProxyState, hosts: List<ListedHost>): Step {
+        val leaving = hosts.filter { it.leaving }
+        val message =
+            PeerMessage.LeavingHostsReported(
+                servers = leaving.mapNotNullTo(mutableSetOf()) { it.server },
+                proxies = leaving.filter { it.server == null }.mapTo(mutableSetOf()) { it.peerEndpoint },
+            )
+        val previous = state.membership.leavingHosts.reports[state.settings.self]
+        val isUneventful = leaving.isEmpty() && (previous == null || previous.isEmpty)
+        return received(state, state.settings.self, message)
+            .then { if (isUneventful) Step(it) else Step(it, messages(it, message)) }
+    }
+
+    /** Records what [reporter] read. */
+    fun received(state: ProxyState, reporter: NodeIdentity, message: PeerMessage.LeavingHostsReported): Step {
+        val report = LeavingReport(message.servers, message.proxies, context.now)
+        return replace(state, state.membership.leavingHosts.with(reporter, report))
+    }
+
+    /** Drops reports that their watcher has not repeated. */
+    fun expire(state: ProxyState): Step = replace(state, state.membership.leavingHosts.expire(context.now))
+
+    private fun messages(state: ProxyState, message: PeerMessage): List<Effect> =
+        state.membership
+            .livePeers()
+            .filter { it.failureDomain == state.settings.failureDomain }
+            .map { Effect.SendPeerMessage(it.node, message) }
+
+    private fun replace(state: ProxyState, leaving: LeavingHosts): Step {
+        val previous = state.membership.leavingHosts
+        return Step(
+            state.withMembership { copy(leavingHosts = leaving) },
+            signals =
+            listOfNotNull(
+                Signal.LeavingServersListed(leaving.servers).takeIf { leaving.servers != previous.servers },
+                Signal.MembershipChanged.takeIf { leaving.proxies != previous.proxies },
+            ),
+        )
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/membership/FakePlatform.kt
@@ -0,0 +1,53 @@
+package dev.hibiscusreach.core.membership
+
+import com.github.michaelbull.result.get
+import dev.hibiscusreach.core.configuration.ConfigurationCodec
+import dev.hibiscusreach.core.event.ListedHost
+import dev.hibiscusreach.core.event.PlatformAnswer
+import dev.hibiscusreach.core.event.PlatformCall
+import dev.hibiscusreach.core.model.Configuration
+
+/** The platform's object store in memory, with the faults that tests ask for. */
+internal class FakePlatform {
+    val objects = mutableMapOf<String, PlatformAnswer.Found>()
+    var hosts = listOf<ListedHost>()
+    var isDown = false
+
+    /** Puts take effect, but their answers are lost. */
+    var losesAnswers = false
+
+    /** Stores [configuration] as an operator's accepted edit. */
+    fun store(configuration: Configuration, changes: List<String> = emptyList()) {
+        val encoded = ConfigurationCodec.encode(configuration, changes)
+        encoded.chunks.forEach { (hash, chunk) -> put(ConfigurationCodec.chunkKey(hash), chunk) }
+        put(ConfigurationCodec.ROOT_KEY, ConfigurationCodec.encodeRoot(encoded.root))
+    }
+
+    fun storedGeneration(): Long? =
+        objects[ConfigurationCodec.ROOT_KEY]?.let { ConfigurationCodec.decodeRoot(it.value).get()?.generation }
+
+    /** The answer to [call], or null while a watch has nothing to tell. */
+    fun answer(call: PlatformCall): PlatformAnswer? =
+        when {
+            isDown -> PlatformAnswer.Failed("outage")
+            call is PlatformCall.Get -> objects[call.key] ?: PlatformAnswer.Missing(call.key)
+            call is PlatformCall.Watch -> objects[call.key]?.takeIf { it.version > call.afterVersion }
+            call is PlatformCall.Put -> conditionalPut(call)
+            else -> PlatformAnswer.Hosts(hosts)
+        }
+
+    private fun conditionalPut(call: PlatformCall.Put): PlatformAnswer {
+        val version = objects[call.key]?.version ?: 0
+        val isCurrent = version == call.expectedVersion
+        if (isCurrent) put(call.key, call.value)
+        return when {
+            losesAnswers -> PlatformAnswer.Failed("answer lost")
+            isCurrent -> PlatformAnswer.Stored(call.key, version + 1)
+            else -> PlatformAnswer.VersionConflict(call.key, version)
+        }
+    }
+
+    private fun put(key: String, value: String) {
+        objects[key] = PlatformAnswer.Found(key, value, version = (objects[key]?.version ?: 0) + 1)
+    }
+}
