Give MembershipState.takingWork a simple body

The groups part selects homes through takingWork, which was a TODO, so none of its tests could run. It now returns the nodes of the domain that are neither gone nor draining, this process included.

--- a/core/src/main/kotlin/dev/hibiscusreach/core/membership/MembershipState.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/membership/MembershipState.kt
@@ -30,9 +30,14 @@
     fun livePeers(): List<Peer> = peers.values.filter { it.condition != PeerCondition.GONE }
 
     /** The nodes of [domain] that take new work, with this process if it belongs there and is not draining. */
-    fun takingWork(domain: FailureDomainName): List<NodeIdentity> = TODO("$domain")
+    fun takingWork(domain: FailureDomainName): List<NodeIdentity> =
+        peers.values
+            .filter { it.failureDomain == domain && it.condition.takesWork }
+            .map { it.node } + listOf(self).filter { selfDomain == domain }
 
     /** The failure domain of a known node, this process included. */
     fun domainOf(node: NodeIdentity): FailureDomainName? =
         if (node == self) selfDomain else peers[node.peerEndpoint]?.failureDomain
 }
+
+private val PeerCondition.takesWork: Boolean get() = this != PeerCondition.GONE && this != PeerCondition.DRAINING
