Add a timer key for the wait for a leadership check

One attempt can wait for durability and for a leadership check at the same time, and starting a timer replaces the one with the same key. The leadership wait therefore gets a key of its own.

--- a/core/src/main/kotlin/dev/hibiscusreach/core/event/Event.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/event/Event.kt
@@ -117,6 +117,9 @@
     /** Ends the wait for the durability of the write of [attempt]. */
     data class DurabilityTimeout(val attempt: AttemptNumber) : TimerKey
 
+    /** Ends the wait for the leadership check of [attempt]. */
+    data class LeadershipTimeout(val attempt: AttemptNumber) : TimerKey
+
     /** Drives pool maintenance: idle probes, queue time-outs, leases. */
     data object PoolPeriod : TimerKey
 
