Monitor database groups and replace failed primaries

Nothing knew terms, primaries or positions yet, so no request could be routed. A home now probes its groups, keeps verified head samples, answers waits for durability and leadership, and replaces a failed primary through the platform's object and a fenced majority.

--- /dev/null
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/ControlCalls.kt
@@ -0,0 +1,56 @@
+package dev.hibiscusreach.core.group
+
+import dev.hibiscusreach.core.event.ConnectionFailure
+import dev.hibiscusreach.core.event.ControlAnswer
+import dev.hibiscusreach.core.event.ControlCommand
+import dev.hibiscusreach.core.event.Event
+import dev.hibiscusreach.core.event.Signal
+import dev.hibiscusreach.core.model.ServerName
+
+internal fun GroupsTurn.controlAnswered(event: Event.ControlAnswered) {
+    noticePause()
+    val call = endCall(event.call) ?: return
+    // An endpoint that was given to another server answers with that server's name.
+    if (event.answer.status.server != call.server) {
+        serverFailed(call.server, ConnectionFailure.BROKEN)
+        return
+    }
+    observe(call.database, event.answer.status, call.sentAt)
+    when (val command = call.command) {
+        is ControlCommand.Probe ->
+            update(call.database) { it.withHealth(call.server) { known -> known.withLatency(now - call.sentAt) } }
+        is ControlCommand.Confirm -> confirmEnded(call, event.answer is ControlAnswer.Confirmed)
+        is ControlCommand.Fence -> fenceAnswered(call, command, event.answer)
+        is ControlCommand.Promote -> promoteAnswered(call, command, event.answer)
+        is ControlCommand.Follow -> if (event.answer is ControlAnswer.Confirmed) followConfirmed(call, command)
+    }
+}
+
+internal fun GroupsTurn.controlFailed(event: Event.ControlFailed) {
+    val call = endCall(event.call) ?: return
+    serverFailed(call.server, event.failure)
+    when (val command = call.command) {
+        is ControlCommand.Confirm -> confirmEnded(call, confirmed = false)
+        is ControlCommand.Promote -> promoteFailed(call, command, event.failure)
+        else -> Unit
+    }
+}
+
+internal fun GroupsTurn.serverFailed(server: ServerName, failure: ConnectionFailure) {
+    val database = state.configuration.index.groupOf(server)?.name ?: return
+    val before = group(database) ?: return
+    update(database) {
+        it.withHealth(server) { known -> known.failed(failure, now, settings.probePeriod) }
+    }
+    if (before.isReachable(server, now) && group(database)?.isReachable(server, now) == false) {
+        signal(Signal.GroupObserved(database))
+    }
+    watchPrimary(database)
+}
+
+private fun GroupsTurn.followConfirmed(call: ControlCall, command: ControlCommand.Follow) {
+    update(call.database) {
+        it.withHealth(call.server) { known -> known.copy(followedTerm = command.term) }
+    }
+    signal(Signal.GroupObserved(call.database))
+}
--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/GroupsState.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/GroupsState.kt
@@ -1,11 +1,15 @@
 package dev.hibiscusreach.core.group
 
+import dev.hibiscusreach.core.event.ControlCallNumber
 import dev.hibiscusreach.core.model.DatabaseName
 import dev.hibiscusreach.core.model.Millis
 import dev.hibiscusreach.core.model.MonotonicTime
+import dev.hibiscusreach.core.model.NodeIdentity
 import dev.hibiscusreach.core.model.Position
 import dev.hibiscusreach.core.model.ServerName
 import dev.hibiscusreach.core.model.Term
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
 
 /** What routing needs to know of one server. */
 data class ServerView(
@@ -20,28 +24,53 @@
     val warmUpPercent: Int,
 )
 
-/** The groups part's view of all database groups. */
-class GroupsState {
+/** What the selection of the homes depends on; the homes are selected again only when it changes. */
+internal data class HomesInput(val generation: Long, val candidates: List<NodeIdentity>)
+
+/** The groups part's view of the database groups of which this process is a home. */
+@ConsistentCopyVisibility
+data class GroupsState internal constructor(
+    internal val databases: PersistentMap<DatabaseName, GroupState> = persistentMapOf(),
+    internal val calls: PersistentMap<ControlCallNumber, ControlCall> = persistentMapOf(),
+    internal val lastControlCall: Long = 0,
+    internal val lastPlatformCall: Long = 0,
+    /** Servers that the platform lists as leaving. */
+    internal val leavingServers: Set<ServerName> = emptySet(),
+    /** Time of the latest probe period. A long gap means that this process was paused. */
+    internal val lastTickAt: MonotonicTime? = null,
+    internal val homesInput: HomesInput? = null,
+) {
     /** The current term of [database]; term 0 if it is not known yet. */
-    fun term(database: DatabaseName): Term = TODO("$database")
+    fun term(database: DatabaseName): Term = databases[database]?.term ?: Term(0)
 
     /** The primary of the current term, or null while it is not known or being replaced. */
-    fun primary(database: DatabaseName): ServerName? = TODO("$database")
+    fun primary(database: DatabaseName): ServerName? = databases[database]?.servingPrimary()
 
-    /** All servers of [database] as routing sees them. */
-    fun servers(database: DatabaseName, now: MonotonicTime): List<ServerView> = TODO("$database $now")
+    /** All servers of [database] as routing sees them; empty if this process is not a home of it. */
+    fun servers(database: DatabaseName, now: MonotonicTime): List<ServerView> =
+        databases[database]?.let { group -> group.group.servers.map { group.view(it.name, leavingServers, now) } }
+            ?: emptyList()
 
     /** The highest position of the current term that a majority of the group is known to hold. */
-    fun durable(database: DatabaseName): Position = TODO("$database")
+    fun durable(database: DatabaseName): Position = databases[database]?.durable() ?: Position.ORIGIN
+
+    /**
+     * Whether a majority is known to hold [position] and no promotion can lose it. Unlike a comparison with [durable],
+     * this is also right for a position that only a replaced primary wrote.
+     */
+    fun isDurable(database: DatabaseName, position: Position): Boolean =
+        databases[database]?.isSettled(position) ?: false
 
     /** The head of the newest verified sample; no acknowledged write up to its sample time is after it. */
-    fun verifiedHead(database: DatabaseName): Position? = TODO("$database")
+    fun verifiedHead(database: DatabaseName): Position? = databases[database]?.samples?.newest?.position
 
     /** Upper bound of the age of data at [position], or null if nothing is known of its age. */
-    fun ageOf(database: DatabaseName, position: Position, now: MonotonicTime): Millis? = TODO(
-        "$database $position $now"
-    )
+    fun ageOf(database: DatabaseName, position: Position, now: MonotonicTime): Millis? =
+        databases[database]
+            ?.takeIf { position.term == it.term || (position.term < it.term && it.isSettled(position)) }
+            ?.let { it.samples.newestWithin(position) }
+            ?.let { now - it.sentAt }
 
     /** The latest time T such that a majority answered in the current term to something sent at or after T. */
-    fun leadershipVerifiedAt(database: DatabaseName): MonotonicTime? = TODO("$database")
+    fun leadershipVerifiedAt(database: DatabaseName): MonotonicTime? = databases[database]?.leadershipVerifiedAt()
 }
--- /dev/null
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/GroupsTurn.kt
@@ -0,0 +1,85 @@
+package dev.hibiscusreach.core.group
+
+import dev.hibiscusreach.core.event.ControlCallNumber
+import dev.hibiscusreach.core.event.ControlCommand
+import dev.hibiscusreach.core.event.Effect
+import dev.hibiscusreach.core.event.PartName
+import dev.hibiscusreach.core.event.PlatformCall
+import dev.hibiscusreach.core.event.PlatformCallNumber
+import dev.hibiscusreach.core.event.Signal
+import dev.hibiscusreach.core.model.DatabaseName
+import dev.hibiscusreach.core.model.Millis
+import dev.hibiscusreach.core.model.MonotonicTime
+import dev.hibiscusreach.core.model.ServerName
+import dev.hibiscusreach.core.reducer.GroupSettings
+import dev.hibiscusreach.core.reducer.ProxyState
+import dev.hibiscusreach.core.reducer.Step
+import dev.hibiscusreach.core.reducer.StepContext
+
+/** A control command whose answer is outstanding. */
+internal data class ControlCall(
+    val database: DatabaseName,
+    val server: ServerName,
+    val command: ControlCommand,
+    val sentAt: MonotonicTime,
+)
+
+/** Collects the changes of the groups slice, the effects and the signals while one event is handled. */
+internal class GroupsTurn(val state: ProxyState, val context: StepContext) {
+    var groups: GroupsState = state.groups
+    private val effects = mutableListOf<Effect>()
+    private val signals = mutableListOf<Signal>()
+
+    val now: MonotonicTime get() = context.now
+    val settings: GroupSettings get() = state.settings.group
+
+    fun group(database: DatabaseName): GroupState? = groups.databases[database]
+
+    /** Changes the state of [database]; does nothing if this process has none. */
+    fun update(database: DatabaseName, change: (GroupState) -> GroupState) {
+        val known = group(database) ?: return
+        groups = groups.copy(databases = groups.databases.put(database, change(known)))
+    }
+
+    fun emit(effect: Effect) {
+        effects += effect
+    }
+
+    fun signal(signal: Signal) {
+        signals += signal
+    }
+
+    /** Sends [command] to [server] and remembers the call; does nothing if the group has no such server. */
+    fun sendControl(
+        group: GroupState,
+        server: ServerName,
+        command: ControlCommand,
+        timeout: Millis = settings.probeTimeout,
+    ) {
+        val endpoint = group.group.server(server)?.controlEndpoint ?: return
+        val call = ControlCallNumber(groups.lastControlCall + 1)
+        groups =
+            groups.copy(
+                lastControlCall = call.value,
+                calls = groups.calls.put(call, ControlCall(group.name, server, command, now)),
+            )
+        emit(Effect.SendControlCommand(call, server, endpoint, command, timeout))
+    }
+
+    /** Takes the call out of the outstanding ones. */
+    fun endCall(number: ControlCallNumber): ControlCall? {
+        val call = groups.calls[number] ?: return null
+        groups = groups.copy(calls = groups.calls.remove(number))
+        return call
+    }
+
+    /** Calls the platform; the answer is matched to the database whose failover waits for the returned number. */
+    fun callPlatform(request: PlatformCall): PlatformCallNumber {
+        val call = PlatformCallNumber(PartName.GROUPS, groups.lastPlatformCall + 1)
+        groups = groups.copy(lastPlatformCall = call.value)
+        emit(Effect.CallPlatform(call, request, state.settings.membership.platformTimeout))
+        return call
+    }
+
+    fun toStep(): Step = Step(state.copy(groups = groups), effects, signals)
+}
