--- a/standins/src/main/kotlin/dev/hibiscusreach/standins/Module.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package dev.hibiscusreach.standins
-
-internal const val MODULE_NAME = "standins"
