Carry requests from arrival to answer

Requests had no owner in the reducer. The requests part now checks them, forwards them to the home of their database, chooses a server, asks the pools part for a connection, sends the session command, matches the answer to its attempt and connection, and delivers it once a majority holds its position and its age is proved. A write whose answer or durability is lost is resolved by its identifier at the current primary. Interactive transactions are pinned to one connection, and the graceful shutdown lets them and all requests finish.

Tests with a fake pool and set views cover reads, writes and forwarding, including lost, crossed and late answers. Transactions and the shutdown have no tests yet.

--- /dev/null
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/request/WriteTest.kt
@@ -0,0 +1,206 @@
+package dev.hibiscusreach.core.request
+
+import dev.hibiscusreach.core.event.ConnectionNumber
+import dev.hibiscusreach.core.event.CounterName
+import dev.hibiscusreach.core.event.SessionAnswer
+import dev.hibiscusreach.core.event.SessionCommand
+import dev.hibiscusreach.core.model.CallerAnswer
+import dev.hibiscusreach.core.model.ErrorKind
+import dev.hibiscusreach.core.model.RequestBody
+import dev.hibiscusreach.core.model.RequestIdentifier
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.hasSize
+import strikt.assertions.isA
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotEqualTo
+import strikt.assertions.isNotNull
+
+class WriteTest {
+    private val harness = RequestHarness()
+
+    // Guards against an acknowledged write that a failover loses.
+    @Test
+    fun `a write is acknowledged once a majority holds its position`() {
+        harness.arrive(write())
+        harness.answer(done(at(11)))
+        expectThat(harness.answers).isEmpty()
+
+        harness.reachDurability()
+        expectThat(harness.completed.session.positionOf(Fixture.JOBS)).isEqualTo(at(11))
+        expectThat(harness.lastCommand).isA<SessionCommand.Execute>().get { idempotencyKey }.isNotNull()
+    }
+
+    // Guards against a write that ran and is reported as failed or runs again because its answer was lost.
+    @Test
+    fun `a write whose answer is lost after it ran is resolved from its record`() {
+        harness.arrive(write())
+        harness.breakConnection()
+        expectThat(harness.lastCommand).isA<SessionCommand.Resolve>()
+
+        harness.answer(done(at(11)))
+        expectThat(harness.answers).isEmpty()
+        harness.reachDurability()
+        expectThat(harness.completed.results).isEqualTo(Fixture.RESULTS)
+    }
+
+    // Guards against a "not run" that a failover makes wrong, because the cancellation record is lost.
+    @Test
+    fun `a write that is cancelled is refused as not run only once the cancellation is durable`() {
+        harness.arrive(write())
+        harness.breakConnection()
+        harness.answer(SessionAnswer.Cancelled(status(), at(11)))
+        expectThat(harness.answers).isEmpty()
+
+        harness.reachDurability()
+        expectThat(harness.refusals).containsExactly(ErrorKind.REQUEST_CANCELLED)
+    }
+
+    // Guards against an answer that reaches another request, or that is counted after its request was given up.
+    @Test
+    fun `crossed and late answers are discarded and counted`() {
+        harness.arrive(write(), number = 1)
+        val first = harness.commands.last()
+        harness.arrive(write(), number = 2)
+        val second = harness.commands.last()
+        harness.answer(first.copy(connection = second.connection), done(at(11)))
+        harness.answer(first.copy(connection = ConnectionNumber(99)), done(at(11)))
+        harness.pass(millis = 2_000)
+        harness.answer(first, done(at(11)))
+
+        expectThat(harness.answers).isEmpty()
+        expectThat(harness.counted(CounterName.DISCARDED_ANSWERS).map { it.label })
+            .containsExactly("connection", "connection", "attempt")
+    }
+
+    // Guards against an acknowledgement by a replaced primary, and against a gap that lasts until a time-out.
+    @Test
+    fun `a write that is under way when the primary is replaced is resolved at the new one`() {
+        harness.arrive(write())
+        val sent = harness.commands.last()
+        harness.replacePrimary(server = null, term = 2)
+        harness.answer(sent, done(at(11)))
+        expectThat(harness.answers).isEmpty()
+
+        harness.replacePrimary(Fixture.REPLICA, term = 2)
+        expectThat(harness.lastCommand).isA<SessionCommand.Resolve>().get { term }.isEqualTo(harness.views.term)
+        harness.answer(SessionAnswer.Cancelled(status(Fixture.REPLICA, term = 2), at(1, term = 2)))
+        harness.reachDurability()
+        expectThat(harness.refusals).containsExactly(ErrorKind.REQUEST_CANCELLED)
+    }
+
+    // Guards against a caller that takes a write for done or not done while a failover can still decide either.
+    @Test
+    fun `a write that never becomes durable or resolved is reported as unknown at its deadline`() {
+        harness.arrive(write(), deadline = 3_000)
+        harness.answer(done(at(11)))
+        harness.missDurability()
+        harness.replacePrimary(server = null, term = 2)
+        harness.pass(millis = 3_000)
+
+        expectThat(harness.refusals).containsExactly(ErrorKind.OUTCOME_UNKNOWN)
+    }
+
+    // Guards against a write that is sent to a primary which is known to be replaced.
+    @Test
+    fun `a write without a primary waits for the new one and then runs`() {
+        harness.replacePrimary(server = null, term = 2)
+        harness.arrive(write())
+        expectThat(harness.commands).isEmpty()
+
+        harness.replacePrimary(Fixture.REPLICA, term = 2)
+        expectThat(harness.commands).hasSize(1)
+    }
+
+    // Guards against requests that pile up during a long outage.
+    @Test
+    fun `a write without a primary is refused after a few seconds`() {
+        harness.views.primary = null
+        harness.arrive(write())
+        harness.pass(millis = 5_000)
+
+        expectThat(harness.refusals).containsExactly(ErrorKind.NO_PRIMARY)
+    }
+
+    // Guards against endless signals when the pools part denies connections to a dead primary at once.
+    @Test
+    fun `a write whose primary cannot be reached waits for another primary`() {
+        harness.denied[Fixture.PRIMARY] = ErrorKind.SERVER_UNREACHABLE
+        harness.arrive(write())
+        harness.pass(millis = 600)
+        harness.replacePrimary(Fixture.REPLICA, term = 2)
+
+        expectThat(harness.commands).hasSize(1)
+        expectThat(harness.answers).isEmpty()
+    }
+
+    // Guards against a repeated identifier that hides a different request behind old results.
+    @Test
+    fun `a reused identifier is refused and different statements have different fingerprints`() {
+        harness.arrive(write())
+        val key = (harness.lastCommand as SessionCommand.Execute).idempotencyKey
+        harness.answer(SessionAnswer.IdentifierReused(status()))
+        harness.arrive(write().copy(statements = read().statements))
+
+        expectThat(harness.refusals).containsExactly(ErrorKind.REQUEST_IDENTIFIER_REUSED)
+        expectThat((harness.lastCommand as SessionCommand.Execute).idempotencyKey).isNotEqualTo(key)
+    }
+
+    // Guards against a write that runs again after its idempotency record was removed.
+    @Test
+    fun `a write that is too old, undated or dated ahead is refused and nothing is sent`() {
+        val retention = 23 * 60 * 60 * 1_000L
+        harness.arrive(write(createdAtMillis = Fixture.WALL_CLOCK - retention - 1), number = 1)
+        harness.arrive(write(createdAtMillis = null), number = 2)
+        harness.arrive(write(createdAtMillis = Fixture.WALL_CLOCK + 600_000), number = 3)
+
+        expectThat(harness.refusals)
+            .containsExactly(ErrorKind.REQUEST_TOO_OLD, ErrorKind.MALFORMED_REQUEST, ErrorKind.MALFORMED_REQUEST)
+        expectThat(harness.commands).isEmpty()
+    }
+
+    // Guards against a "not run" for a repeatable write whose first attempt may have run.
+    @Test
+    fun `a repeatable write that fails after a lost answer is reported as unknown`() {
+        harness.arrive(write(repeatable = true))
+        harness.breakConnection()
+        expectThat(harness.lastCommand).isA<SessionCommand.Execute>()
+        harness.answer(SessionAnswer.Rejected(status(), "no such table"))
+
+        expectThat(harness.refusals).containsExactly(ErrorKind.OUTCOME_UNKNOWN)
+    }
+
+    // Guards against a deadline that claims "not run" for a command that was sent.
+    @Test
+    fun `an expired deadline is not run before the command was sent and unknown afterwards`() {
+        harness.views.primary = null
+        harness.arrive(write(), number = 1, deadline = 400)
+        harness.pass(millis = 400)
+        harness.views.primary = Fixture.PRIMARY
+        harness.arrive(write(), number = 2, deadline = 400)
+        harness.pass(millis = 400)
+        harness.arrive(write(), number = 3, deadline = 400)
+        harness.answer(done(at(11)))
+        harness.pass(millis = 400)
+
+        expectThat(harness.refusals)
+            .containsExactly(ErrorKind.DEADLINE_EXCEEDED, ErrorKind.OUTCOME_UNKNOWN, ErrorKind.OUTCOME_UNKNOWN)
+    }
+
+    // Guards against a refused question about an outcome that reads as "the write did not run".
+    @Test
+    fun `a question about an outcome is answered from the record or as unknown`() {
+        val question = RequestBody.ResolveOutcome(RequestIdentifier("request-1"))
+        harness.arrive(question, number = 2)
+        harness.answer(done(at(10)).copy(replayed = true))
+        harness.views.primary = null
+        harness.arrive(question, number = 3, deadline = 300)
+        harness.pass(millis = 300)
+
+        expectThat(harness.answers.first()).isA<CallerAnswer.Completed>().get { replayed }.isEqualTo(true)
+        expectThat(harness.answers.last()).isA<CallerAnswer.Refused>().get { kind }
+            .isEqualTo(ErrorKind.OUTCOME_UNKNOWN)
+    }
+}
