Keep peers alive across partial partitions and reconnect lost ones

Peers that are gone are tried again every two seconds, so that separated domains find each other without the platform. A whole view is requested again after the start, because many processes may start together.

--- a/core/src/main/kotlin/dev/hibiscusreach/core/membership/FailureDetector.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/membership/FailureDetector.kt
@@ -34,7 +34,7 @@
         val probe = open?.value as? Probe.Own
         return when {
             peer == null || peer.condition == PeerCondition.SUSPECTED -> Step(state)
-            probe == null && membership.protocol.probes.size >= MAXIMUM_PROBES -> Step(state)
+            probe == null && membership.protocol.isBusy -> Step(state)
             probe == null -> probeEverywhere(state, node)
             probe.indirect -> Step(state)
             else -> askOthers(state, open.key, probe)
@@ -64,14 +64,6 @@
         }
     }
 
-    /** Passes a ping of [requester] on to [request]'s target. */
-    fun relay(state: ProxyState, requester: NodeIdentity, request: PeerMessage.IndirectPing): Step =
-        if (state.membership.protocol.probes.size < MAXIMUM_PROBES) {
-            pings.await(state, Probe.Relayed(request.target, requester, request.sequence))
-        } else {
-            Step(state)
-        }
-
     private fun probeEverywhere(state: ProxyState, node: NodeIdentity): Step {
         val sequence = state.membership.protocol.nextSequence
         return pings
@@ -80,25 +72,28 @@
     }
 
     private fun askOthers(state: ProxyState, sequence: Long, probe: Probe.Own): Step {
-        val settings = state.settings.membership
-        val helpers =
-            state.membership
-                .livePeers()
-                .filter { it.node != probe.target && it.condition != PeerCondition.SUSPECTED }
-                .shuffled(context.randomFor("helpers/$sequence"))
-                .take(settings.indirectPings)
         val recorded =
             state.withProtocol {
                 copy(probes = probes.put(sequence, probe.copy(indirect = true, sentAt = context.now)))
             }
-        val requests =
-            helpers.map { Effect.SendPeerMessage(it.node, PeerMessage.IndirectPing(sequence, probe.target)) }
-        return Step(recorded, requests + Effect.StartTimer(TimerKey.PingTimeout(sequence), settings.pingTimeout))
+        val timer = Effect.StartTimer(TimerKey.PingTimeout(sequence), state.settings.membership.pingTimeout)
+        return Step(recorded, requests(state, sequence, probe.target) + timer)
     }
 
-    // The ping that follows carries the suspicion, so that a peer that is merely slow can refute it in time.
-    private fun suspect(state: ProxyState, peer: Peer): Step =
-        updates.declare(state, peer, PeerCondition.SUSPECTED).then { pings.notify(it, peer.node) }
+    private fun requests(state: ProxyState, sequence: Long, target: NodeIdentity): List<Effect> =
+        Helpers.choose(state, target, context).map {
+            Effect.SendPeerMessage(it.node, PeerMessage.IndirectPing(sequence, target))
+        }
+
+    // The suspicion is sent to the peer on several paths, so that a peer that is merely slow can refute it in time.
+    private fun suspect(state: ProxyState, peer: Peer): Step {
+        val helpers = Helpers.choose(state, peer.node, context)
+        return (listOf(peer) + helpers)
+            .fold(updates.declare(state, peer, PeerCondition.SUSPECTED)) { step, receiver ->
+                step.then { pings.notify(it, receiver.node) }
+            }.then { Step(it, requests(it, it.membership.protocol.nextSequence, peer.node)) }
+            .then { Step(it.withProtocol { copy(nextSequence = nextSequence + 1) }) }
+    }
 
     // After a pause of this process the acknowledgement may wait unread; the peer is not to blame.
     private fun isLate(state: ProxyState, probe: Probe.Own): Boolean {
@@ -110,9 +105,4 @@
         val order: List<Endpoint> = membership.livePeers().map { it.node.peerEndpoint }
         return withProtocol { copy(rotation = order.shuffled(context.randomFor("round")).toPersistentList()) }
     }
-
-    private companion object {
-        /** Bounds the work when many links fail at once, such as after the loss of a failure domain. */
-        const val MAXIMUM_PROBES = 32
-    }
 }
--- a/core/src/main/kotlin/dev/hibiscusreach/core/membership/GossipExchange.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/membership/GossipExchange.kt
@@ -19,7 +19,10 @@
     /** Handles a process having introduced itself on a new link. */
     fun introduced(state: ProxyState, update: PeerUpdate): Step =
         learn(state, listOf(update), spread = true)
-            .then { if (it.membership.isLive(update.node)) pings.probe(it, update.node) else Step(it) }
+            .then {
+                // A peer that was taken for gone learns so from the ping, and refutes it.
+                if (it.membership.isLive(update.node)) pings.probe(it, update.node) else pings.notify(it, update.node)
+            }
 
     /** Answers the ping of [from]. */
     fun pinged(state: ProxyState, from: NodeIdentity, ping: PeerMessage.Ping): Step =
@@ -34,9 +37,18 @@
         val settled = if (matches) settle(state, message.sequence, answersView) else Step(state)
         return settled
             .then { learn(it, message.updates, spread = !answersView) }
+            .then { if (isRefuting(state, it)) pings.notify(it, from) else Step(it) }
             .then { if (matches && probe is Probe.Relayed) passOn(it, probe) else Step(it) }
     }
 
+    /** Pings the target of [request] for [requester], unless many probes are open already. */
+    fun pingRequested(state: ProxyState, requester: NodeIdentity, request: PeerMessage.IndirectPing): Step =
+        if (state.membership.protocol.isBusy) {
+            Step(state)
+        } else {
+            pings.await(state, Probe.Relayed(request.target, requester, request.sequence))
+        }
+
     private fun settle(state: ProxyState, sequence: Long, answersView: Boolean): Step =
         Step(
             state.withProtocol {
@@ -50,11 +62,13 @@
 
     private fun learn(state: ProxyState, received: List<PeerUpdate>, spread: Boolean): Step {
         val learned = updates.apply(state, received, spread)
-        val isRefuting = learned.state.membership.refutation > state.membership.refutation
-        val isUrgent = isRefuting || received.any { learnedOfDraining(state, learned.state, it) }
+        val isUrgent = isRefuting(state, learned.state) || received.any { learnedOfDraining(state, learned.state, it) }
         return if (isUrgent) learned.then { announcement.spread(it) } else learned
     }
 
+    private fun isRefuting(before: ProxyState, after: ProxyState): Boolean =
+        after.membership.refutation > before.membership.refutation
+
     // Every peer that learns of a draining one passes it on at once, so that new work stops within a few round trips.
     private fun learnedOfDraining(before: ProxyState, after: ProxyState, update: PeerUpdate): Boolean {
         val endpoint = update.node.peerEndpoint
--- a/core/src/main/kotlin/dev/hibiscusreach/core/membership/MembershipPart.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/membership/MembershipPart.kt
@@ -53,10 +53,13 @@
         }
 
     private fun periodFired(state: ProxyState): Step {
-        val counted = state.withProtocol { copy(periods = periods + 1) }
-        val isAlone = counted.membership.protocol.periods % SEED_PERIODS == 0L && state.membership.livePeers().isEmpty()
+        val count = state.membership.protocol.periods + 1
+        val isViewDue = count in FIRST_VIEW_PERIODS || count % VIEW_PERIODS == 0L
+        val counted = state.withProtocol { copy(periods = count, viewNeeded = viewNeeded || isViewDue) }
+        val isAlone = count % SEED_PERIODS == 0L && state.membership.livePeers().isEmpty()
         return schedulePeriod(counted)
             .then { detector.probeNext(it) }
+            .then { LostPeers(context).periodFired(it) }
             .then { if (isAlone) hostList.contactSeeds(it) else Step(it) }
     }
 
@@ -72,7 +75,7 @@
         when (message) {
             is PeerMessage.Ping -> exchange.pinged(state, from, message)
             is PeerMessage.Acknowledgement -> exchange.acknowledged(state, from, message)
-            is PeerMessage.IndirectPing -> detector.relay(state, from, message)
+            is PeerMessage.IndirectPing -> exchange.pingRequested(state, from, message)
             is PeerMessage.LeavingHostsReported -> leavingReports.received(state, from, message)
             else -> Step(state)
         }
@@ -87,5 +90,11 @@
     private companion object {
         /** A process without peers contacts the seeds every two seconds. */
         const val SEED_PERIODS = 4L
+
+        /** Periods after the start in which a whole view is requested again: many processes may start together. */
+        val FIRST_VIEW_PERIODS = setOf(10L, 40L)
+
+        /** A whole view every ten minutes repairs what gossip missed, at about 0.3 KB/s for 1,300 processes. */
+        const val VIEW_PERIODS = 1_200L
     }
 }
--- a/core/src/main/kotlin/dev/hibiscusreach/core/membership/ProtocolState.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/membership/ProtocolState.kt
@@ -43,8 +43,16 @@
     /** When the period timer is due; null before the start. */
     val periodDue: MonotonicTime? = null,
     val periods: Long = 0,
-    /** Whether this process has not received the whole view of any peer yet. */
+    /** Whether this process should ask a peer for its whole view. */
     val viewNeeded: Boolean = true,
     val hostListCall: PlatformCallNumber? = null,
     val hostListCalls: Long = 0,
-)
+) {
+    /** Whether so many probes are open that no optional ones are started. */
+    internal val isBusy: Boolean get() = probes.size >= MAXIMUM_PROBES
+
+    private companion object {
+        /** Bounds the work when many links fail at once, such as after the loss of a failure domain. */
+        const val MAXIMUM_PROBES = 32
+    }
+}
--- a/core/src/test/kotlin/dev/hibiscusreach/core/membership/FakePlatform.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/membership/FakePlatform.kt
@@ -6,11 +6,13 @@
 import dev.hibiscusreach.core.event.PlatformAnswer
 import dev.hibiscusreach.core.event.PlatformCall
 import dev.hibiscusreach.core.model.Configuration
+import dev.hibiscusreach.core.model.NodeIdentity
 
 /** The platform's object store in memory, with the faults that tests ask for. */
 internal class FakePlatform {
     val objects = mutableMapOf<String, PlatformAnswer.Found>()
     var hosts = listOf<ListedHost>()
+    val hostListReaders = mutableSetOf<NodeIdentity>()
     var isDown = false
 
     /** Puts take effect, but their answers are lost. */
--- a/core/src/test/kotlin/dev/hibiscusreach/core/membership/TestFleet.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/membership/TestFleet.kt
@@ -45,7 +45,15 @@
     fun startAll(count: Int, domains: List<String> = listOf("yard", "dublin")): List<TestNode> =
         (1..count).map { start(it, domains[it % domains.size]) }.also { run(seconds = 5) }
 
-    fun run(seconds: Int) = runMillis(seconds * 1_000L)
+    /** Ends a process without notice; messages to it fail at once. */
+    fun kill(node: TestNode) = nodes.remove(node.identity.peerEndpoint)
+
+    /** Delays everything that happens to [node]. */
+    fun pause(node: TestNode, seconds: Int) {
+        node.pausedUntil = now + seconds * MILLIS_PER_SECOND
+    }
+
+    fun run(seconds: Int) = runMillis(seconds * MILLIS_PER_SECOND)
 
     fun runMillis(duration: Long) {
         val end = now + duration
@@ -105,6 +113,7 @@
     private fun call(node: TestNode, effect: Effect.CallPlatform, waitedMillis: Long = 0) {
         val request = effect.request
         val isReachable = !isCut(node.domain, "platform")
+        if (request is PlatformCall.ListHosts) platform.hostListReaders += node.identity
         val answer = if (isReachable) platform.answer(request) else PlatformAnswer.Failed("no route")
         val hasWaited = request is PlatformCall.Watch && waitedMillis >= request.waitMillis
         when {
@@ -122,8 +131,9 @@
 
     companion object {
         private const val POLL_MILLIS = 10L
+        private const val MILLIS_PER_SECOND = 1_000L
 
-        fun endpoint(number: Int) = Endpoint("10.0.0.$number", port = 7_000)
+        fun endpoint(number: Int) = Endpoint("10.0.${number / 250}.${number % 250}", port = 7_000)
     }
 }
 
