Read the configuration root again after each long poll

A store that was restored from a backup can have a lower version than the one that a long poll waits to be passed, so that watchers never saw that it was behind.

--- a/core/src/main/kotlin/dev/hibiscusreach/core/configuration/StoreWatch.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/configuration/StoreWatch.kt
@@ -67,7 +67,11 @@
         when (answer) {
             is PlatformAnswer.Found -> found(state, phase, answer)
             is PlatformAnswer.Missing -> compare(state, phase, ConfigurationRoot(0, emptyList()), version = 0)
-            is PlatformAnswer.Unchanged -> continueWatch(state.withStore { copy(failures = 0) }, phase)
+            // A store that was restored from a backup may never reach a version that ends the long poll.
+            is PlatformAnswer.Unchanged -> continueWatch(
+                state.withStore { copy(failures = 0, rootVersion = null) },
+                phase
+            )
             else -> pause.afterFailure(state, "configuration root not read: $answer")
         }
 
--- a/core/src/test/kotlin/dev/hibiscusreach/core/membership/FakePlatform.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/membership/FakePlatform.kt
@@ -8,11 +8,14 @@
 import dev.hibiscusreach.core.model.Configuration
 import dev.hibiscusreach.core.model.NodeIdentity
 
+/** A call that [node] made. */
+internal data class PlatformUse(val node: NodeIdentity, val call: PlatformCall)
+
 /** The platform's object store in memory, with the faults that tests ask for. */
 internal class FakePlatform {
     val objects = mutableMapOf<String, PlatformAnswer.Found>()
     var hosts = listOf<ListedHost>()
-    val hostListReaders = mutableSetOf<NodeIdentity>()
+    val calls = mutableListOf<PlatformUse>()
     var isDown = false
 
     /** Puts take effect, but their answers are lost. */
@@ -25,6 +28,9 @@
         put(ConfigurationCodec.ROOT_KEY, ConfigurationCodec.encodeRoot(encoded.root))
     }
 
+    fun users(isCounted: (PlatformCall) -> Boolean): Set<NodeIdentity> =
+        calls.filter { isCounted(it.call) }.mapTo(mutableSetOf()) { it.node }
+
     fun storedGeneration(): Long? =
         objects[ConfigurationCodec.ROOT_KEY]?.let { ConfigurationCodec.decodeRoot(it.value).get()?.generation }
 
--- a/core/src/test/kotlin/dev/hibiscusreach/core/membership/MembershipPartTest.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/membership/MembershipPartTest.kt
@@ -3,6 +3,7 @@
 import dev.hibiscusreach.core.event.DrainPhase
 import dev.hibiscusreach.core.event.ListedHost
 import dev.hibiscusreach.core.event.PeerCondition
+import dev.hibiscusreach.core.event.PlatformCall
 import dev.hibiscusreach.core.event.Signal
 import dev.hibiscusreach.core.model.Endpoint
 import dev.hibiscusreach.core.model.FailureDomainName
@@ -165,13 +166,13 @@
                 ListedHost(Endpoint("10.1.0.2", port = 1), yard, leaving = true, server),
                 ListedHost(leavingProxy.identity.peerEndpoint, yard, leaving = true),
             )
-        fleet.platform.hostListReaders.clear()
+        fleet.platform.calls.clear()
 
         fleet.run(seconds = 11)
 
         expectThat(nodes).all { get { signals }.contains(Signal.LeavingServersListed(setOf(server))) }
         expectThat(nodes).all { get { takesWork(leavingProxy) }.isFalse() }
-        expectThat(fleet.platform.hostListReaders).containsExactlyInAnyOrder(watchers)
+        expectThat(fleet.platform.users { it is PlatformCall.ListHosts }).containsExactlyInAnyOrder(watchers)
     }
 
     private fun TestNode.takesWork(other: TestNode): Boolean =
--- a/core/src/test/kotlin/dev/hibiscusreach/core/membership/TestFleet.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/membership/TestFleet.kt
@@ -113,7 +113,7 @@
     private fun call(node: TestNode, effect: Effect.CallPlatform, waitedMillis: Long = 0) {
         val request = effect.request
         val isReachable = !isCut(node.domain, "platform")
-        if (request is PlatformCall.ListHosts) platform.hostListReaders += node.identity
+        if (waitedMillis == 0L) platform.calls += PlatformUse(node.identity, request)
         val answer = if (isReachable) platform.answer(request) else PlatformAnswer.Failed("no route")
         val hasWaited = request is PlatformCall.Watch && waitedMillis >= request.waitMillis
         when {
@@ -154,6 +154,7 @@
 
     fun handle(event: Event, now: Long, random: Long): List<Effect> {
         val transition = reducer.reduce(state, TimedEvent(MonotonicTime(now), wallClockMillis = now, random, event))
+        check(transition.state.configuration.index.generation >= generation) { "generation went down after $event" }
         state = transition.state
         return transition.effects
     }
