Check the fingerprint of a write that is resolved after a lost answer

A record found by identifier does not show whose results it holds: a caller that reused an identifier and lost the answer would have got the results of the other request. The write is now sent again once its record is known to be durable; it cannot run, and its server compares the fingerprints.

A peer that was lost gets no forwarded requests for a second, so that requests do not fail one after the other until membership takes it for gone. A transaction that begins during a shutdown ends with the shutdown's limit. The loss of a peer leaves the outcome of a statement in a transaction open, and a slow statement is no longer taken for a lost peer.

--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/Draining.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/Draining.kt
@@ -18,8 +18,10 @@
         DrainPhase.SERVING, DrainPhase.FINISHED -> Unit
 
         DrainPhase.LEAVING -> {
+            val end = now + settings.request.drainLimit
             advance(DrainPhase.FINISHING)
-            startTimer(TimerKey.DrainStep, now + settings.request.drainLimit)
+            slice = slice.copy(transactionsEndAt = end)
+            startTimer(TimerKey.DrainStep, end)
             finishDrainIfIdle()
         }
 
--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/Forwarding.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/Forwarding.kt
@@ -34,7 +34,7 @@
 }
 
 private fun Turn.forwardWaitEnd(request: PendingRequest): MonotonicTime =
-    if (request.work.changesData) request.deadline else now + REPEATABLE_FORWARD_WAIT
+    if (request.work.leavesOutcomeOpen) request.deadline else now + REPEATABLE_FORWARD_WAIT
 
 private fun requestToForward(request: PendingRequest) =
     when (val work = request.work) {
@@ -57,7 +57,7 @@
     val free = keep(request.copy(phase = RequestPhase.Arrived))
     val work = request.work
     when {
-        answer !is CallerAnswer.Refused -> reply(free, answer)
+        answer !is CallerAnswer.Refused -> completedByPeer(free, answer)
 
         answer.kind == ErrorKind.DRAINING -> {
             val elsewhere = free.copy(avoidedPeers = free.avoidedPeers + from)
@@ -73,8 +73,14 @@
     }
 }
 
+private fun Turn.completedByPeer(request: PendingRequest, answer: CallerAnswer) {
+    val recorded = (request.work as? Work.Resolve)?.recorded
+    if (recorded == null) reply(request, answer) else route(keep(request.copy(work = recorded)))
+}
+
 /** Handles the loss of [peer]: nothing that was forwarded to it will be answered. */
 internal fun Turn.losePeer(peer: NodeIdentity) {
+    noteUnreachable(peer)
     slice.index.peers[peer].orEmpty().mapNotNull { slice.pending[it] }.forEach { forwardLost(it, peer) }
 }
 
--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/Losses.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/Losses.kt
@@ -74,7 +74,7 @@
 
         is RequestPhase.Verifying -> notVerified(phase.attempt)
 
-        is RequestPhase.Forwarded -> if (!request.work.changesData) forwardLost(request, phase.peer)
+        is RequestPhase.Forwarded -> if (!request.work.leavesOutcomeOpen) forwardLost(request, phase.peer)
     }
 }
 
--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/PendingRequest.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/PendingRequest.kt
@@ -43,7 +43,7 @@
     val seenPosition: Position get() = request.session.positionOf(database)
 
     /** Whether the request may have taken effect if nothing more is learned of it. */
-    val outcomeOpen: Boolean get() = mayHaveRun || work.changesData && wasSent
+    val outcomeOpen: Boolean get() = mayHaveRun || work.leavesOutcomeOpen && wasSent
 
     private val wasSent: Boolean
         get() =
--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/RequestsPart.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/RequestsPart.kt
@@ -31,6 +31,7 @@
 }
 
 private fun Turn.received(event: Event.PeerMessageReceived) {
+    noteReachable(event.from)
     when (val message = event.message) {
         is PeerMessage.ForwardedRequest -> arrive(event.from, message)
         is PeerMessage.ForwardedAnswer -> answeredByPeer(event.from, message)
--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/RequestsState.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/RequestsState.kt
@@ -5,6 +5,7 @@
 import dev.hibiscusreach.core.event.ConnectionNumber
 import dev.hibiscusreach.core.event.DrainPhase
 import dev.hibiscusreach.core.model.DatabaseName
+import dev.hibiscusreach.core.model.MonotonicTime
 import dev.hibiscusreach.core.model.NodeIdentity
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
@@ -21,6 +22,10 @@
     val transactions: PersistentMap<String, OpenTransaction> = persistentMapOf(),
     /** The transactions' pinned connections. */
     val pinned: PersistentMap<ConnectionNumber, String> = persistentMapOf(),
+    /** When peers were last found to be unreachable. */
+    val unreachable: PersistentMap<NodeIdentity, MonotonicTime> = persistentMapOf(),
+    /** The end of open transactions in a shutdown, once it is known. */
+    val transactionsEndAt: MonotonicTime? = null,
     val budgets: PersistentMap<DatabaseName, RetryBudget> = persistentMapOf(),
     /** The last number given to an attempt, a forwarded request or a transaction. */
     val lastNumber: Long = 0,
--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/Retries.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/Retries.kt
@@ -40,7 +40,7 @@
             if (work.key == null) {
                 tryAgain(request.copy(mayHaveRun = true), reason, ErrorKind.OUTCOME_UNKNOWN, message)
             } else {
-                resolve(request, Work.Resolve(work.key.identifier))
+                resolve(request, Work.Resolve(work.key.identifier, recorded = work))
             }
 
         is Work.Commit -> resolve(request, Work.Resolve(work.key.identifier))
--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/Routing.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/Routing.kt
@@ -35,10 +35,6 @@
         .mapNotNull { fleet.home(group, it) }
         .firstOrNull { canForward(request, it) }
 
-/** Whether [peer] may be asked to carry [request] out. */
-internal fun Turn.canForward(request: PendingRequest, peer: NodeIdentity): Boolean =
-    request.hops < settings.request.maximumHops && peer != settings.self && peer !in request.avoidedPeers
-
 private fun Turn.routeRead(request: PendingRequest, read: Work.Read, group: DatabaseGroup) {
     val choice = chooseForRead(request, read, group)
     when {
--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/TransactionStart.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/TransactionStart.kt
@@ -34,7 +34,7 @@
             connection = phase.connection,
             server = phase.server,
             term = phase.term,
-            endsAt = now + settings.request.transactionLifeLimit,
+            endsAt = listOfNotNull(now + settings.request.transactionLifeLimit, slice.transactionsEndAt).min(),
             timerDue = now,
         )
     slice = slice.copy(pinned = slice.pinned.put(phase.connection, identifier))
--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/Transactions.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/Transactions.kt
@@ -11,7 +11,7 @@
     when {
         identifier == null -> refuse(request, ErrorKind.TRANSACTION_UNKNOWN, "the transaction identifier is not valid")
         identifier.owner == settings.self -> useTransaction(request, work, identifier)
-        fleet.isLive(identifier.owner) && canForward(request, identifier.owner) -> forward(request, identifier.owner)
+        fleet.isLive(identifier.owner) && mayForward(request, identifier.owner) -> forward(request, identifier.owner)
         else -> ownerLost(request, work)
     }
 }
--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/VerificationResults.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/VerificationResults.kt
@@ -11,7 +11,10 @@
 /** Delivers a verified answer. */
 internal fun Turn.deliver(request: PendingRequest, phase: RequestPhase.Verifying) {
     when (val answer = phase.answer) {
-        is SessionAnswer.Done -> complete(request, phase, answer)
+        is SessionAnswer.Done -> {
+            val recorded = (request.work as? Work.Resolve)?.recorded
+            if (recorded == null) complete(request, phase, answer) else route(keep(request.copy(work = recorded)))
+        }
 
         is SessionAnswer.Cancelled ->
             refuseAsSettled(request, ErrorKind.REQUEST_CANCELLED, "the request did not run and never will")
--- a/core/src/test/kotlin/dev/hibiscusreach/core/request/WriteTest.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/request/WriteTest.kt
@@ -43,9 +43,23 @@
         harness.answer(done(at(11)))
         expectThat(harness.answers).isEmpty()
         harness.reachDurability()
+        expectThat(harness.lastCommand).isA<SessionCommand.Execute>()
+        harness.views.durable = at(11)
+        harness.answer(done(at(11)).copy(replayed = true))
         expectThat(harness.completed.results).isEqualTo(Fixture.RESULTS)
     }
 
+    // Guards against the results of another request, whose identifier this one reused, after a lost answer.
+    @Test
+    fun `a lost write with a reused identifier does not get the results of the other request`() {
+        harness.arrive(write())
+        harness.breakConnection()
+        harness.answer(done(at(10)))
+        harness.answer(SessionAnswer.IdentifierReused(status()))
+
+        expectThat(harness.refusals).containsExactly(ErrorKind.REQUEST_IDENTIFIER_REUSED)
+    }
+
     // Guards against a "not run" that a failover makes wrong, because the cancellation record is lost.
     @Test
     fun `a write that is cancelled is refused as not run only once the cancellation is durable`() {
