--- /dev/null
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/request/DrainTest.kt
@@ -0,0 +1,96 @@
+package dev.hibiscusreach.core.request
+
+import dev.hibiscusreach.core.event.ArrivalNumber
+import dev.hibiscusreach.core.event.DrainPhase
+import dev.hibiscusreach.core.event.Effect
+import dev.hibiscusreach.core.event.Event
+import dev.hibiscusreach.core.event.PeerMessage
+import dev.hibiscusreach.core.event.SessionAnswer
+import dev.hibiscusreach.core.event.Signal
+import dev.hibiscusreach.core.model.CallerAnswer
+import dev.hibiscusreach.core.model.ErrorKind
+import dev.hibiscusreach.core.model.RequestBody
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.containsExactly
+import strikt.assertions.doesNotContain
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.last
+
+class DrainTest {
+    private val harness = RequestHarness()
+
+    // Guards against requests that the load balancer still sends and that get refused.
+    @Test
+    fun `a leaving proxy still takes requests for the notice time`() {
+        harness.handle(Event.DrainRequested)
+        harness.pass(millis = 900)
+        harness.arrive(write())
+        harness.pass(millis = 200)
+        harness.answer(done(at(10)))
+
+        expectThat(harness.answers.single()).isA<CallerAnswer.Completed>()
+        expectThat(phases()).containsExactly(DrainPhase.LEAVING, DrainPhase.FINISHING, DrainPhase.FINISHED)
+        expectThat(harness.effects).last().isA<Effect.Exit>()
+    }
+
+    // Guards against a shutdown that never ends because new work keeps coming.
+    @Test
+    fun `a finishing proxy refuses new requests of callers and peers`() {
+        val transaction = begin()
+        finish()
+        harness.arrive(write(), number = 2)
+        val forwarded = PeerMessage.ForwardedRequest(ArrivalNumber(5), hops = 1, harness.request(write(), number = 3))
+        harness.handle(Event.PeerMessageReceived(Fixture.node(port = 2), forwarded))
+
+        expectThat((harness.answers.last() as CallerAnswer.Refused).kind).isEqualTo(ErrorKind.DRAINING)
+        expectThat(harness.sent<PeerMessage.ForwardedAnswer>().single().answer)
+            .isA<CallerAnswer.Refused>().get { kind }.isEqualTo(ErrorKind.DRAINING)
+        expectThat(harness.state.requests.transactions.keys).contains(transaction)
+    }
+
+    // Guards against a shutdown that interrupts a transaction which would have ended in time.
+    @Test
+    fun `an open transaction can commit while the proxy finishes`() {
+        val transaction = begin()
+        finish()
+        harness.arrive(RequestBody.CommitTransaction(transaction, Fixture.WALL_CLOCK), number = 2)
+        harness.answer(done(at(11)))
+        harness.reachDurability()
+        expectThat(harness.effects).doesNotContain(Effect.Exit)
+        harness.confirmLeadership()
+
+        expectThat(harness.answers.last()).isA<CallerAnswer.Completed>()
+        expectThat(harness.effects).last().isA<Effect.Exit>()
+    }
+
+    // Guards against an open transaction that keeps the proxy from exiting, and against a false outcome of it.
+    @Test
+    fun `a transaction that exceeds the drain limit is ended as not run and the proxy exits`() {
+        val transaction = begin()
+        finish()
+        repeat(5) { turn ->
+            harness.pass(millis = 2_000)
+            harness.arrive(RequestBody.TransactionStatements(transaction, write().statements), number = turn + 2L)
+            if (turn < 4) harness.answer(done(at(10)))
+        }
+
+        expectThat((harness.answers.last() as CallerAnswer.Refused).kind.outcome.name).isEqualTo("NOT_RUN")
+        expectThat(harness.effects).contains(Effect.Exit)
+    }
+
+    private fun begin(): String {
+        harness.arrive(RequestBody.BeginTransaction, number = 1)
+        harness.answer(SessionAnswer.Done(status(), position = at(10)))
+        return checkNotNull((harness.answers.last() as CallerAnswer.Completed).transaction)
+    }
+
+    private fun finish() {
+        harness.handle(Event.DrainRequested)
+        harness.pass(millis = 1_000)
+    }
+
+    private fun phases() = harness.signalled<Signal.DrainAdvanced>().map { it.phase }
+}
