--- a/daemon/src/main/kotlin/dev/hibiscusreach/daemon/Module.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package dev.hibiscusreach.daemon
-
-internal const val MODULE_NAME = "daemon"
--- /dev/null
+++ b/daemon/src/main/kotlin/dev/hibiscusreach/daemon/PlatformConfiguration.kt
@@ -0,0 +1,100 @@
+package dev.hibiscusreach.daemon
+
+import com.github.michaelbull.result.getOrElse
+import dev.hibiscusreach.core.configuration.ConfigurationCodec
+import dev.hibiscusreach.core.event.ConfigurationRoot
+import dev.hibiscusreach.core.event.PlatformAnswer
+import dev.hibiscusreach.core.event.PlatformCall
+import dev.hibiscusreach.core.model.Configuration
+
+/** The configuration on the platform at one version of its root. */
+internal class StoredConfiguration(
+    val version: Long,
+    val root: ConfigurationRoot,
+    val configuration: Configuration,
+)
+
+/** How an attempt to replace the configuration ended. */
+internal sealed interface StoreResult {
+    /** The new configuration is accepted. */
+    data class Accepted(val generation: Long) : StoreResult
+
+    /** Another edit came first. */
+    data class Lost(val current: StoredConfiguration) : StoreResult
+}
+
+/** Reads and conditionally replaces the configuration on the platform. */
+internal class PlatformConfiguration(private val platform: PlatformCalls) {
+    /** The configuration as it stands; generation 0 if none was loaded yet. */
+    fun read(): StoredConfiguration =
+        when (val answer = platform.call(PlatformCall.Get(ConfigurationCodec.ROOT_KEY))) {
+            is PlatformAnswer.Found -> decode(answer)
+            is PlatformAnswer.Missing -> StoredConfiguration(version = 0, EMPTY_ROOT, Configuration())
+            else -> unexpected("reading the configuration", answer)
+        }
+
+    /** Replaces [base] with [configuration] as the edit [change], unless another edit came first. */
+    fun store(base: StoredConfiguration, configuration: Configuration, change: String): StoreResult {
+        val encoded = ConfigurationCodec.encode(configuration, base.root.recentChanges + change)
+        encoded.chunks.forEach { (hash, chunk) -> storeChunk(hash, chunk) }
+        val value = ConfigurationCodec.encodeRoot(encoded.root)
+        return when (val answer = platform.call(PlatformCall.Put(ConfigurationCodec.ROOT_KEY, value, base.version))) {
+            is PlatformAnswer.Stored -> StoreResult.Accepted(configuration.generation)
+            is PlatformAnswer.VersionConflict -> compare(change)
+            is PlatformAnswer.Failed -> resolve(base, change, answer.reason)
+            else -> unexpected("storing the configuration", answer)
+        }
+    }
+
+    // The root changed after it was read: by another edit, or by this one if an answer was lost.
+    private fun compare(change: String): StoreResult {
+        val current = read()
+        return if (change in current.root.recentChanges) {
+            StoreResult.Accepted(current.root.generation)
+        } else {
+            StoreResult.Lost(current)
+        }
+    }
+
+    // The put may have taken effect although its answer was lost.
+    private fun resolve(base: StoredConfiguration, change: String, reason: String): StoreResult {
+        val result = compare(change)
+        val unchanged = result is StoreResult.Lost && result.current.version == base.version
+        if (unchanged) throw CommandFailure(ExitCode.UNREACHABLE, "the platform did not store the root: $reason")
+        return result
+    }
+
+    // A chunk's key is the hash of its content, so a chunk that exists already is the same one.
+    private fun storeChunk(hash: String, chunk: String) {
+        val put = PlatformCall.Put(ConfigurationCodec.chunkKey(hash), chunk, expectedVersion = 0)
+        when (val answer = platform.call(put)) {
+            is PlatformAnswer.Stored, is PlatformAnswer.VersionConflict -> Unit
+            else -> unexpected("storing a chunk", answer)
+        }
+    }
+
+    private fun decode(found: PlatformAnswer.Found): StoredConfiguration {
+        val root = ConfigurationCodec.decodeRoot(found.value).getOrElse { unreadable(it) }
+        val chunks = root.chunkHashes.associateWith(::chunk)
+        val configuration = ConfigurationCodec.decode(root, chunks).getOrElse { unreadable(it) }
+        return StoredConfiguration(found.version, root, configuration)
+    }
+
+    private fun chunk(hash: String): String =
+        when (val answer = platform.call(PlatformCall.Get(ConfigurationCodec.chunkKey(hash)))) {
+            is PlatformAnswer.Found -> answer.value
+            else -> unexpected("reading a chunk", answer)
+        }
+
+    private fun unreadable(error: Any): Nothing =
+        throw CommandFailure(ExitCode.UNREACHABLE, "the configuration on the platform cannot be read: $error")
+
+    private fun unexpected(step: String, answer: PlatformAnswer): Nothing {
+        val reason = if (answer is PlatformAnswer.Failed) answer.reason else answer.toString()
+        throw CommandFailure(ExitCode.UNREACHABLE, "$step failed: $reason")
+    }
+
+    private companion object {
+        val EMPTY_ROOT = ConfigurationRoot(generation = 0, chunkHashes = emptyList())
+    }
+}
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/Module.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package dev.hibiscusreach.runtime
-
-internal const val MODULE_NAME = "runtime"
--- /dev/null
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/backend/ServerWire.kt
@@ -0,0 +1,14 @@
+package dev.hibiscusreach.runtime.backend
+
+import kotlinx.serialization.json.Json
+import org.slf4j.Logger
+import org.slf4j.LoggerFactory
+
+/** What the clients of backend servers have in common. */
+internal object ServerWire {
+    const val STATUS_OK = 200
+    const val STATUS_UNAVAILABLE = 503
+
+    val json: Json = Json { ignoreUnknownKeys = true }
+    val log: Logger = LoggerFactory.getLogger("dev.hibiscusreach.runtime.backend")
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/backend/SessionLimits.kt
@@ -0,0 +1,17 @@
+package dev.hibiscusreach.runtime.backend
+
+import dev.hibiscusreach.core.model.Millis
+import dev.hibiscusreach.core.model.inSeconds
+
+/** Limits of session connections to backend servers. */
+data class SessionLimits(
+    val openTimeout: Millis = 2.inSeconds,
+    /** Above every deadline of the reducer; it only ends connections that the reducer lost sight of. */
+    val answerTimeout: Millis = 60.inSeconds,
+    /** An answer that is forwarded must fit into a frame of 1 MiB between proxies. */
+    val maximumResponseBytes: Int = MAXIMUM_RESPONSE_BYTES,
+) {
+    private companion object {
+        const val MAXIMUM_RESPONSE_BYTES = 960 * 1024
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/caller/CallerEndpoint.kt
@@ -0,0 +1,112 @@
+package dev.hibiscusreach.runtime.caller
+
+import dev.hibiscusreach.core.event.ArrivalNumber
+import dev.hibiscusreach.core.event.DrainPhase
+import dev.hibiscusreach.core.event.Effect
+import dev.hibiscusreach.core.event.Event
+import dev.hibiscusreach.core.model.CallerAnswer
+import dev.hibiscusreach.core.model.CallerRequest
+import dev.hibiscusreach.core.model.Endpoint
+import dev.hibiscusreach.runtime.adapter.CallerAnswers
+import dev.hibiscusreach.runtime.http.HttpListener
+import dev.hibiscusreach.runtime.loop.EventSink
+import dev.hibiscusreach.runtime.loop.LoopListener
+import io.netty.channel.Channel
+import io.netty.channel.EventLoopGroup
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+
+/** Told of each request when its answer is sent. */
+fun interface RequestObserver {
+    /** [answer] was given [nanos] after the request's arrival. */
+    fun answered(answer: CallerAnswer, nanos: Long)
+}
+
+/** The HTTP endpoint for callers. */
+class CallerEndpoint(
+    private val sink: EventSink,
+    signer: TokenSigner,
+    internal val limits: CallerLimits,
+    private val observer: RequestObserver,
+) : CallerAnswers,
+    LoopListener,
+    AutoCloseable {
+    private class Waiting(val connection: CallerConnection, val since: Long)
+
+    internal val reader = RequestReader(signer)
+    internal val writer = AnswerWriter(signer)
+    internal val budget = ByteBudget(limits.maximumBufferedBytes)
+    private val arrivals = AtomicLong()
+    private val waiting = ConcurrentHashMap<ArrivalNumber, Waiting>()
+    private val connections: MutableSet<CallerConnection> = ConcurrentHashMap.newKeySet()
+    private var listener: Channel? = null
+
+    /** Set when connections close after their next answer. */
+    @Volatile
+    internal var isClosing = false
+        private set
+
+    /** Open connections. */
+    val connectionCount: Int get() = connections.size
+
+    /** Requests without an answer. */
+    val requestsInFlight: Int get() = waiting.size
+
+    /** Listens at [address]; returns the address with its actual port. */
+    fun bind(group: EventLoopGroup, address: Endpoint): Endpoint {
+        val channel = HttpListener.bind(group, address, CallerPipeline(this))
+        listener = channel
+        return HttpListener.endpoint(channel)
+    }
+
+    override fun answer(effect: Effect.AnswerCaller) {
+        val request = waiting.remove(effect.arrival) ?: return
+        observer.answered(effect.answer, System.nanoTime() - request.since)
+        request.connection.answer(effect.arrival, effect.identifier.value, effect.answer)
+    }
+
+    // While the load balancer may still send new connections, only the busy ones are asked to close; idle ones are
+    // closed once it has had time to notice.
+    override fun drainAdvanced(phase: DrainPhase) {
+        if (phase != DrainPhase.SERVING) isClosing = true
+        if (phase >= DrainPhase.FINISHING) connections.forEach(CallerConnection::closeIfIdle)
+    }
+
+    /** Stops listening and closes the connections once their answers are sent. */
+    override fun close() {
+        isClosing = true
+        listener?.close()?.syncUninterruptibly()
+        val deadline = System.nanoTime() + CLOSE_TIMEOUT_NANOS
+        while (connections.isNotEmpty() && System.nanoTime() < deadline) {
+            connections.forEach(CallerConnection::closeIfIdle)
+            Thread.sleep(CLOSE_POLL_MILLIS)
+        }
+    }
+
+    /** Whether another connection may be opened. */
+    internal val hasRoom: Boolean get() = connections.size < limits.maximumConnections
+
+    internal fun opened(connection: CallerConnection) {
+        connections.add(connection)
+    }
+
+    internal fun arrived(connection: CallerConnection, request: CallerRequest): ArrivalNumber {
+        val arrival = ArrivalNumber(arrivals.incrementAndGet())
+        waiting[arrival] = Waiting(connection, System.nanoTime())
+        sink.submit(Event.RequestArrived(arrival, request))
+        return arrival
+    }
+
+    internal fun closed(connection: CallerConnection, unanswered: List<ArrivalNumber>) {
+        connections.remove(connection)
+        unanswered.forEach {
+            waiting.remove(it)
+            sink.submit(Event.CallerDisconnected(it))
+        }
+    }
+
+    private companion object {
+        const val CLOSE_TIMEOUT_NANOS = 2_000_000_000L
+        const val CLOSE_POLL_MILLIS = 20L
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/caller/DiscardHandler.kt
@@ -0,0 +1,12 @@
+package dev.hibiscusreach.runtime.caller
+
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.util.ReferenceCountUtil
+
+/** Discards all input of a connection that is being closed. */
+internal class DiscardHandler : ChannelInboundHandlerAdapter() {
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        ReferenceCountUtil.release(message)
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/caller/InputRefusals.kt
@@ -0,0 +1,31 @@
+package dev.hibiscusreach.runtime.caller
+
+import dev.hibiscusreach.core.model.CallerAnswer.Refused
+import dev.hibiscusreach.core.model.ErrorKind
+import io.netty.handler.codec.PrematureChannelClosureException
+import io.netty.handler.codec.http.TooLongHttpHeaderException
+import io.netty.handler.codec.http.TooLongHttpLineException
+
+/** Refusals of input that cannot be read as a request. */
+internal class InputRefusals(private val limits: CallerLimits) {
+    fun tooLarge() =
+        Refused(ErrorKind.REQUEST_TOO_LARGE, "the body is larger than ${limits.maximumBodyBytes} bytes")
+
+    fun overloaded() = Refused(ErrorKind.OVERLOADED, "too many requests are in progress", PAUSE_MILLIS)
+
+    fun incomplete() =
+        Refused(ErrorKind.REQUEST_INCOMPLETE, "the request did not arrive whole within the time limit")
+
+    fun decoding(failure: Throwable): Refused =
+        when (failure) {
+            is TooLongHttpHeaderException, is TooLongHttpLineException ->
+                Refused(ErrorKind.REQUEST_TOO_LARGE, "the headers are larger than ${limits.maximumHeaderBytes} bytes")
+            is PrematureChannelClosureException ->
+                Refused(ErrorKind.REQUEST_INCOMPLETE, "the connection was closed within the request")
+            else -> Refused(ErrorKind.MALFORMED_REQUEST, "the request is not valid HTTP/1.1")
+        }
+
+    private companion object {
+        const val PAUSE_MILLIS = 1_000L
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/caller/LingeringClose.kt
@@ -0,0 +1,23 @@
+package dev.hibiscusreach.runtime.caller
+
+import io.netty.channel.Channel
+import io.netty.channel.socket.DuplexChannel
+import java.util.concurrent.TimeUnit
+
+/**
+ * Closes a connection after its last answer. Closing while the caller still sends would reset the connection and could
+ * destroy the answer, so the output is shut down first and input is discarded until the caller closes.
+ */
+internal object LingeringClose {
+    private const val LINGER_MILLIS = 1_000L
+
+    fun begin(channel: Channel) {
+        channel.config().isAutoRead = true
+        if (channel is DuplexChannel && channel.isActive && !channel.isInputShutdown) {
+            channel.shutdownOutput()
+            channel.eventLoop().schedule({ channel.close() }, LINGER_MILLIS, TimeUnit.MILLISECONDS)
+        } else {
+            channel.close()
+        }
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpCall.kt
@@ -0,0 +1,31 @@
+package dev.hibiscusreach.runtime.http
+
+import dev.hibiscusreach.core.event.ConnectionFailure
+import dev.hibiscusreach.core.model.Endpoint
+import dev.hibiscusreach.core.model.Millis
+
+/** An HTTP request without its destination. */
+internal class HttpMessage(
+    val method: String,
+    val path: String,
+    val body: String = "",
+    val headers: Map<String, String> = emptyMap(),
+)
+
+/** One HTTP/1.1 request to [endpoint]. */
+internal class HttpCall(
+    val endpoint: Endpoint,
+    val message: HttpMessage,
+    val timeout: Millis,
+    /** Whether sending the request again does no harm if its connection breaks. */
+    val repeatable: Boolean = true,
+)
+
+/** How an [HttpCall] ended. */
+internal sealed interface HttpOutcome {
+    /** The whole response arrived. */
+    data class Answered(val status: Int, val body: String) : HttpOutcome
+
+    /** No whole response arrived. */
+    data class Failed(val failure: ConnectionFailure) : HttpOutcome
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpConnection.kt
@@ -0,0 +1,134 @@
+package dev.hibiscusreach.runtime.http
+
+import dev.hibiscusreach.core.event.ConnectionFailure
+import dev.hibiscusreach.core.model.Endpoint
+import dev.hibiscusreach.core.model.Millis
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.FullHttpResponse
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import org.slf4j.LoggerFactory
+import java.net.ConnectException
+import java.net.InetSocketAddress
+import java.util.concurrent.Future
+import java.util.concurrent.TimeUnit
+
+/** A client connection that carries one exchange at a time. */
+internal class HttpConnection(private val endpoint: Endpoint, private val listener: Listener) :
+    SimpleChannelInboundHandler<FullHttpResponse>() {
+    /** Told of what happens on the connection, on the channel's thread. */
+    interface Listener {
+        /** The TCP connection is established. */
+        fun connected(connection: HttpConnection)
+
+        /** A whole response arrived; [reusable] tells whether the server keeps the connection open. */
+        fun answered(connection: HttpConnection, answer: HttpOutcome.Answered, reusable: Boolean)
+
+        /** The connection could not be established or is closed. Called once, last. */
+        fun closed(connection: HttpConnection, failure: ConnectionFailure)
+    }
+
+    private lateinit var channel: Channel
+    private var finished = false
+
+    /** Starts to connect. */
+    fun connect(group: EventLoopGroup, timeoutMillis: Int, maximumResponseBytes: Int) {
+        val pipeline =
+            object : ChannelInitializer<SocketChannel>() {
+                override fun initChannel(channel: SocketChannel) {
+                    val aggregator = HttpObjectAggregator(maximumResponseBytes, true)
+                    channel.pipeline().addLast(HttpClientCodec(), aggregator, this@HttpConnection)
+                }
+            }
+        val connecting =
+            Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel::class.java)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(pipeline)
+                .connect(InetSocketAddress(endpoint.address, endpoint.port))
+        channel = connecting.channel()
+        connecting.addListener { connectEnded(connecting) }
+    }
+
+    /** Sends a request. */
+    fun send(message: HttpMessage) {
+        val content = Unpooled.wrappedBuffer(message.body.encodeToByteArray())
+        val method = HttpMethod.valueOf(message.method)
+        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, message.path, content)
+        request.headers().set(HttpHeaderNames.HOST, endpoint.toString())
+        if (message.body.isNotEmpty()) {
+            request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
+        }
+        message.headers.forEach { (name, value) -> request.headers().set(name, value) }
+        channel.writeAndFlush(request).addListener { if (!it.isSuccess) channel.close() }
+    }
+
+    /** Runs [action] on the channel's thread. */
+    fun execute(action: () -> Unit) = channel.eventLoop().execute(action)
+
+    /** Runs [action] on the channel's thread after [delay]. */
+    fun schedule(delay: Millis, action: () -> Unit): Future<*> =
+        channel.eventLoop().schedule(action, delay.value, TimeUnit.MILLISECONDS)
+
+    /** Closes the connection. */
+    fun close() {
+        channel.close()
+    }
+
+    override fun channelRead0(context: ChannelHandlerContext, response: FullHttpResponse) {
+        if (response.decoderResult().isFailure) {
+            context.close()
+        } else {
+            val answer = HttpOutcome.Answered(response.status().code(), response.content().toString(Charsets.UTF_8))
+            listener.answered(this, answer, HttpUtil.isKeepAlive(response))
+        }
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) = finish(ConnectionFailure.BROKEN)
+
+    @Deprecated("Netty declares the method as deprecated for handlers other than inbound ones")
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        log.debug("connection to {} failed", endpoint, cause)
+        context.close()
+    }
+
+    private fun connectEnded(connecting: ChannelFuture) {
+        when (connecting.cause()) {
+            null -> listener.connected(this)
+            is ConnectTimeoutException -> finish(ConnectionFailure.TIMED_OUT)
+            is ConnectException -> finish(ConnectionFailure.REFUSED)
+            else -> finish(ConnectionFailure.BROKEN)
+        }
+    }
+
+    private fun finish(failure: ConnectionFailure) {
+        if (!finished) {
+            finished = true
+            listener.closed(this, failure)
+        }
+    }
+
+    private companion object {
+        val log = LoggerFactory.getLogger(HttpConnection::class.java)
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/peer/KtorPeerLinks.kt
@@ -0,0 +1,135 @@
+package dev.hibiscusreach.runtime.peer
+
+import dev.hibiscusreach.core.event.Effect
+import dev.hibiscusreach.core.event.Event
+import dev.hibiscusreach.core.event.PeerMessage
+import dev.hibiscusreach.core.event.PeerUpdate
+import dev.hibiscusreach.core.model.Endpoint
+import dev.hibiscusreach.core.model.NodeIdentity
+import dev.hibiscusreach.runtime.adapter.PeerLinks
+import dev.hibiscusreach.runtime.loop.EventSink
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
+import org.slf4j.LoggerFactory
+import java.util.concurrent.Executors
+
+/** Links to the other proxies over Ktor sockets. All links run on one thread, so that they need no locks. */
+class KtorPeerLinks(
+    private val listener: PeerListener,
+    private val sink: EventSink,
+    private val settings: PeerLinkSettings,
+    traffic: PeerTraffic,
+    self: () -> PeerUpdate,
+) : PeerLinks {
+    private val executor = Executors.newSingleThreadExecutor { Thread(it, "peer-links").apply { isDaemon = true } }
+    private val failures = CoroutineExceptionHandler { _, failure -> log.error("peer link failed", failure) }
+    private val scope = CoroutineScope(SupervisorJob() + executor.asCoroutineDispatcher() + failures)
+    private val handshake = Handshake(settings, self)
+    private val links = LinkTable(settings, sink, traffic)
+    private val dials = HashMap<Endpoint, Dial>()
+    private var accepted = 0
+
+    /** A link that is being opened, with the messages that wait for it. */
+    private class Dial {
+        val waiting = mutableListOf<Pair<NodeIdentity, ByteArray>>()
+        var waitingBytes = 0
+    }
+
+    /** Starts to accept links and to check the open ones. */
+    fun start() {
+        scope.launch { acceptLinks() }
+        scope.launch {
+            while (true) {
+                delay(settings.checkPeriod.value)
+                links.check()
+            }
+        }
+    }
+
+    override fun send(effect: Effect.SendPeerMessage) {
+        scope.launch { send(effect.to, effect.message) }
+    }
+
+    override fun contact(effect: Effect.ContactSeeds) {
+        scope.launch {
+            for (endpoint in effect.endpoints.filter { it != listener.endpoint }) {
+                val known = links.at(endpoint)
+                if (known == null) dial(endpoint) else sink.submit(Event.PeerIntroduced(known.remote))
+            }
+        }
+    }
+
+    /** Sends what is queued, as far as that is possible in a short time, and closes all links. */
+    override fun close() {
+        runBlocking {
+            withTimeoutOrNull(settings.handshakeTimeout.value) {
+                scope.launch { links.leaveAll() }.join()
+            }
+        }
+        scope.cancel()
+        listener.close()
+        executor.shutdown()
+    }
+
+    private fun send(to: NodeIdentity, message: PeerMessage) {
+        val frame = LinkCodec.encode(LinkFrame.Message(message))
+        val link = links[to]
+        when {
+            frame.size > LinkCodec.MAXIMUM_FRAME_BYTES ->
+                log.warn("message {} of {} bytes is too large for {}", message::class.simpleName, frame.size, to)
+            link != null -> if (!link.offer(frame)) link.close()
+            else -> enqueue(to, frame)
+        }
+    }
+
+    private fun enqueue(to: NodeIdentity, frame: ByteArray) {
+        val dial = dial(to.peerEndpoint)
+        if (dial.waitingBytes + frame.size <= settings.maximumQueuedBytes) {
+            dial.waiting += to to frame
+            dial.waitingBytes += frame.size
+        } else {
+            sink.submit(Event.PeerUnreachable(to))
+        }
+    }
+
+    private fun dial(endpoint: Endpoint): Dial =
+        dials.getOrPut(endpoint) {
+            Dial().also { scope.launch { open(endpoint, it) } }
+        }
+
+    private suspend fun open(endpoint: Endpoint, dial: Dial) {
+        val link = handshake.open { listener.connect(endpoint) }?.let(links::register)
+        dials.remove(endpoint)
+        val (reached, missed) = dial.waiting.partition { (node, _) -> node == link?.remote?.node }
+        missed.map { it.first }.distinct().forEach { sink.submit(Event.PeerUnreachable(it)) }
+        reached.forEach { (_, frame) -> link?.offer(frame) }
+        link?.start(scope)
+    }
+
+    private suspend fun acceptLinks() {
+        while (true) {
+            val socket = listener.accept()
+            if (accepted < settings.maximumAcceptedLinks) scope.launch { accept(socket) } else socket.close()
+        }
+    }
+
+    private suspend fun accept(socket: FrameSocket) {
+        accepted++
+        try {
+            handshake.accept(socket)?.let(links::register)?.start(scope)?.join()
+        } finally {
+            accepted--
+        }
+    }
+
+    private companion object {
+        val log = LoggerFactory.getLogger(KtorPeerLinks::class.java)
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/peer/PeerLinkSettings.kt
@@ -0,0 +1,33 @@
+package dev.hibiscusreach.runtime.peer
+
+import dev.hibiscusreach.core.model.Millis
+import dev.hibiscusreach.core.model.inSeconds
+
+/** Limits and timing of the links between proxies. */
+data class PeerLinkSettings(
+    val connectTimeout: Millis = 2.inSeconds,
+    val handshakeTimeout: Millis = 2.inSeconds,
+    /** Bytes that wait to be sent on one link; a link with more is taken for broken. */
+    val maximumQueuedBytes: Int = MAXIMUM_QUEUED_BYTES,
+    /** Links that were accepted from other processes. */
+    val maximumAcceptedLinks: Int = 4_096,
+    /** How often links are checked. */
+    val checkPeriod: Millis = 1.inSeconds,
+    /** A link that stays silent this long after something was sent is taken for broken. */
+    val silenceLimit: Millis = 4.inSeconds,
+    /** A link without messages is closed after this time. */
+    val idleLimit: Millis = 60.inSeconds,
+) {
+    private companion object {
+        const val MAXIMUM_QUEUED_BYTES = 4 * 1024 * 1024
+    }
+}
+
+/** Told of the bytes that links carry. */
+interface PeerTraffic {
+    /** A frame of [bytes] was sent to a process in [domain]. */
+    fun sent(domain: String, bytes: Int) = Unit
+
+    /** A frame of [bytes] was received from a process in [domain]. */
+    fun received(domain: String, bytes: Int) = Unit
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/peer/PeerListener.kt
@@ -0,0 +1,50 @@
+package dev.hibiscusreach.runtime.peer
+
+import dev.hibiscusreach.core.model.Endpoint
+import dev.hibiscusreach.runtime.http.BindException
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.runBlocking
+import java.io.IOException
+import java.util.concurrent.Executors
+
+/** The socket at which other proxies open links. Bound before the node's identity is known, which has its port. */
+class PeerListener private constructor(
+    address: String,
+    private val selector: SelectorManager,
+    private val socket: ServerSocket,
+) : AutoCloseable {
+    /** The address with its actual port. */
+    val endpoint: Endpoint = Endpoint(address, (socket.localAddress as InetSocketAddress).port)
+
+    internal suspend fun accept(): FrameSocket = FrameSocket(socket.accept())
+
+    internal suspend fun connect(endpoint: Endpoint): FrameSocket =
+        FrameSocket(aSocket(selector).tcp().connect(endpoint.address, endpoint.port) { noDelay = true })
+
+    override fun close() {
+        socket.close()
+        selector.close()
+    }
+
+    companion object {
+        /** Listens at [address]. */
+        fun bind(address: Endpoint): PeerListener {
+            val executor = Executors.newSingleThreadExecutor { Thread(it, "peer-selector").apply { isDaemon = true } }
+            val selector = SelectorManager(executor.asCoroutineDispatcher())
+            return try {
+                val socket =
+                    runBlocking {
+                        aSocket(selector).tcp().bind(address.address, address.port) { reuseAddress = true }
+                    }
+                PeerListener(address.address, selector, socket)
+            } catch (failure: IOException) {
+                selector.close()
+                throw BindException(address, failure)
+            }
+        }
+    }
+}
