--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/backend/HttpServerControl.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/backend/HttpServerControl.kt
@@ -41,7 +41,7 @@
                 .takeIf { it.status == ServerWire.STATUS_OK }
                 ?.let { ServerWire.json.decodeFromString(ControlAnswer.serializer(), it.body) }
         } catch (failure: SerializationException) {
-            ServerWire.log.warn("unreadable control answer", failure)
+            ServerWire.log.warn("unreadable control answer: {}", failure.message?.lineSequence()?.first())
             null
         }
 
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/backend/HttpServerSessions.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/backend/HttpServerSessions.kt
@@ -128,7 +128,7 @@
                 .takeIf { it.status == ServerWire.STATUS_OK }
                 ?.let { ServerWire.json.decodeFromString(SessionResponse.serializer(), it.body) }
         } catch (failure: SerializationException) {
-            ServerWire.log.warn("unreadable session answer", failure)
+            ServerWire.log.warn("unreadable session answer: {}", failure.message?.lineSequence()?.first())
             null
         }
 
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/loop/TimerService.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/loop/TimerService.kt
@@ -16,6 +16,9 @@
     /** The number of running timers. */
     val size: Int get() = timers.size
 
+    /** Queued entries, stale ones included. */
+    internal val queueSize: Int get() = queue.size
+
     /** Subscribes [key] to the time [delay] after [now], in place of its earlier subscription. */
     fun start(key: TimerKey, delay: Millis, now: MonotonicTime) {
         val timer = Timer(key, now + delay, started++)
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/peer/KtorPeerLinks.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/peer/KtorPeerLinks.kt
@@ -84,7 +84,7 @@
         when {
             frame.size > LinkCodec.MAXIMUM_FRAME_BYTES ->
                 log.warn("message {} of {} bytes is too large for {}", message::class.simpleName, frame.size, to)
-            link != null -> if (!link.offer(frame)) link.close()
+            link != null -> if (!link.offer(frame)) link.close("too many bytes wait to be sent")
             else -> enqueue(to, frame)
         }
     }
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/peer/LinkTable.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/peer/LinkTable.kt
@@ -52,10 +52,10 @@
         links.remove(link.remote.node, link)
     }
 
-    override fun closed(link: PeerLink, cause: Exception?) {
+    override fun closed(link: PeerLink, reason: String) {
         open -= link
         if (links.remove(link.remote.node, link)) {
-            log.info("link to {} is closed: {}", link.remote.node, cause?.message ?: "closed by the peer")
+            log.info("link to {} is closed: {}", link.remote.node, reason)
             sink.submit(Event.PeerUnreachable(link.remote.node))
         }
     }
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/peer/PeerLink.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/peer/PeerLink.kt
@@ -25,14 +25,16 @@
         /** The other side closes the link; nothing must be queued any more. */
         fun leaving(link: PeerLink)
 
-        /** The link is closed; [cause] is null if both sides agreed. */
-        fun closed(link: PeerLink, cause: Exception?)
+        /** The link is closed for [reason]. */
+        fun closed(link: PeerLink, reason: String)
     }
 
     private val queue = Channel<ByteArray>(Channel.UNLIMITED)
     private var queuedBytes = 0
     private var writer: Job? = null
+    private var reader: Job? = null
     private var agreed = false
+    private var closeReason = "closed by the peer"
     private var silentSince: Long? = null
     private var lastMessageAt = System.nanoTime()
 
@@ -40,11 +42,13 @@
     fun start(scope: CoroutineScope): Job {
         writer = scope.launch { guarded(::writeFrames) }
         return scope.launch {
-            val cause = guarded(::readFrames)
+            val reading = launch { guarded(::readFrames) }
+            reader = reading
+            reading.join()
             queue.close()
-            if (agreed) writer?.join()
+            if (agreed) writer?.join() else writer?.cancel()
             socket.close()
-            listener.closed(this@PeerLink, cause.takeUnless { agreed })
+            listener.closed(this@PeerLink, closeReason)
         }
     }
 
@@ -56,14 +60,14 @@
             lastMessageAt = System.nanoTime()
             if (silentSince == null) silentSince = lastMessageAt
         }
-        return fits
+        return fits && !agreed
     }
 
     /** Sends a heartbeat on a silent link; closes a broken or unused one. */
     fun check(now: Long) {
         val silence = silentSince?.let { (now - it) / NANOS_PER_MILLI }
         when {
-            silence != null && silence > settings.silenceLimit.value -> close()
+            silence != null && silence > settings.silenceLimit.value -> close("the link went silent")
             silence != null && silence > settings.checkPeriod.value -> queue.trySend(heartbeat)
             (now - lastMessageAt) / NANOS_PER_MILLI > settings.idleLimit.value -> leave()
         }
@@ -75,12 +79,19 @@
             agreed = true
             queue.trySend(goodbye)
             queue.close()
+            // The other side gets the usual time to close the link.
+            silentSince = System.nanoTime()
             listener.leaving(this)
         }
     }
 
-    /** Closes the link at once. */
-    fun close() = socket.close()
+    /** Closes the link at once for [reason]. */
+    fun close(reason: String) {
+        closeReason = reason
+        // Closing the socket does not wake a read that waits for the other side.
+        reader?.cancel()
+        socket.close()
+    }
 
     /** Waits until everything that was queued is sent. */
     suspend fun awaitSent() {
@@ -113,16 +124,13 @@
         listener.leaving(this)
     }
 
-    private suspend fun guarded(action: suspend () -> Unit): Exception? =
+    private suspend fun guarded(action: suspend () -> Unit) =
         try {
             action()
-            null
         } catch (failure: IOException) {
-            socket.close()
-            failure
+            close(failure.toString())
         } catch (failure: UnreadableFrameException) {
-            socket.close()
-            failure
+            close(failure.message.orEmpty())
         }
 
     private companion object {
