--- a/standins/src/main/kotlin/dev/hibiscusreach/standins/database/SlotSchedule.kt
+++ b/standins/src/main/kotlin/dev/hibiscusreach/standins/database/SlotSchedule.kt
@@ -1,5 +1,8 @@
 package dev.hibiscusreach.standins.database
 
+import dev.hibiscusreach.core.event.SessionCommand
+import dev.hibiscusreach.core.model.Statement
+
 /** Assigns work to a fixed number of slots in the order of arrival. */
 class SlotSchedule(slots: Int) {
     private val freeAt = LongArray(slots)
@@ -14,4 +17,17 @@
         freeAt[slot] = end
         return end
     }
+
+    companion object {
+        /** The time that [command] takes in a slot if each statement takes [statementMillis] besides its sleep. */
+        fun duration(command: SessionCommand, statementMillis: Long): Long =
+            command.statements().let { it.size * statementMillis + StatementLanguage.sleepMillis(it) }
+
+        private fun SessionCommand.statements(): List<Statement> =
+            when (this) {
+                is SessionCommand.Execute -> statements
+                is SessionCommand.Run -> statements
+                else -> emptyList()
+            }
+    }
 }
