--- a/standins/src/main/kotlin/dev/hibiscusreach/standins/command/Main.kt
+++ b/standins/src/main/kotlin/dev/hibiscusreach/standins/command/Main.kt
@@ -25,6 +25,14 @@
     name = "standins",
     mixinStandardHelpOptions = true,
     description = ["Stand-ins of the outside systems and the experiment driver of hibiscusreach."],
-    subcommands = [PlatformCommand::class, ServerCommand::class, AdminCommand::class, PortsCommand::class],
+    subcommands = [
+        PlatformCommand::class,
+        ServerCommand::class,
+        AdminCommand::class,
+        PortsCommand::class,
+        CallCommand::class,
+        TransactionCommand::class,
+        DriveCommand::class,
+    ],
 )
 internal class StandinsCommand
--- a/standins/src/main/kotlin/dev/hibiscusreach/standins/network/ExchangeHandler.kt
+++ b/standins/src/main/kotlin/dev/hibiscusreach/standins/network/ExchangeHandler.kt
@@ -89,6 +89,7 @@
         path = target.path(),
         query = target.parameters().mapValues { it.value.first() },
         ifMatch = headers().get(HttpHeaderNames.IF_MATCH)?.trim('"'),
+        requestId = headers().get("Hibiscusreach-Request-Id"),
         body = content().toString(Charsets.UTF_8),
     )
 }
--- a/standins/src/main/kotlin/dev/hibiscusreach/standins/network/HttpExchange.kt
+++ b/standins/src/main/kotlin/dev/hibiscusreach/standins/network/HttpExchange.kt
@@ -22,6 +22,7 @@
     val path: String,
     val query: Map<String, String>,
     val ifMatch: String?,
+    val requestId: String?,
     val body: String,
 )
 
