--- a/standins/src/main/kotlin/dev/hibiscusreach/standins/command/CallerOptions.kt
+++ b/standins/src/main/kotlin/dev/hibiscusreach/standins/command/CallerOptions.kt
@@ -7,6 +7,7 @@
 import picocli.CommandLine.Model.CommandSpec
 import picocli.CommandLine.Option
 import picocli.CommandLine.Spec
+import java.time.Duration
 import java.util.UUID
 
 /** The options that all commands of a single caller have. */
@@ -23,6 +24,8 @@
     @Option(names = ["--caller"], required = true)
     private lateinit var caller: String
 
+    private val client by lazy { CallerClient(caller) }
+
     @Option(names = ["--session"], description = ["Token of an earlier answer."])
     private var session: String? = null
 
@@ -33,17 +36,29 @@
     var deadlineMillis: Long = 0
         private set
 
+    @Option(names = ["--wait-millis"], description = ["Time for which a request is repeated until it completes."])
+    private var waitMillis: Long = 0
+
     /** Sends [call], whose path is relative to the database, under the request's identifier and session. */
-    fun send(call: CallerCall): CallerResult =
-        CallerClient(caller).send(
-            proxy,
+    fun send(call: CallerCall): CallerResult {
+        val complete =
             call.copy(
                 path = "$database/${call.path}",
                 requestId = call.requestId.ifEmpty { requestId },
                 session = session,
                 timeoutMillis = deadlineMillis + ANSWER_MARGIN_MILLIS,
-            ),
-        )
+            )
+        val end = System.nanoTime() + Duration.ofMillis(waitMillis).toNanos()
+        var result = client.send(proxy, complete)
+        while (mayComplete(result) && System.nanoTime() < end) {
+            Thread.sleep(RETRY_PAUSE_MILLIS)
+            result = client.send(proxy, complete)
+        }
+        return result
+    }
+
+    private fun mayComplete(result: CallerResult): Boolean =
+        result is CallerResult.Broken || (result is CallerResult.Refused && result.mayRepeat)
 
     /** Prints [result] as lines of `NAME=VALUE`. */
     fun print(result: CallerResult) {
@@ -63,5 +78,6 @@
 
     private companion object {
         const val ANSWER_MARGIN_MILLIS = 1_000L
+        const val RETRY_PAUSE_MILLIS = 100L
     }
 }
