--- a/standins/src/main/kotlin/dev/hibiscusreach/standins/command/AdminCommand.kt
+++ b/standins/src/main/kotlin/dev/hibiscusreach/standins/command/AdminCommand.kt
@@ -16,7 +16,7 @@
 @Command(
     name = "admin",
     mixinStandardHelpOptions = true,
-    description = ["Sends one HTTP request, prints the body of the answer and succeeds if its status is 200."],
+    description = ["Sends HTTP requests, prints the bodies of the answers and succeeds if every status is 200."],
 )
 internal class AdminCommand : Callable<Int> {
     @Spec
@@ -25,27 +25,31 @@
     @Parameters(index = "0", paramLabel = "METHOD")
     private lateinit var method: String
 
-    @Parameters(index = "1", paramLabel = "HOST:PORT/PATH")
-    private lateinit var target: String
+    @Parameters(index = "1..*", arity = "1..*", paramLabel = "HOST:PORT/PATH")
+    private lateinit var targets: List<String>
 
-    @Parameters(index = "2", arity = "0..1", paramLabel = "BODY", defaultValue = "")
+    @Option(names = ["--body"], defaultValue = "")
     private lateinit var body: String
 
-    @Option(names = ["--wait-millis"], description = ["Time for which the request is repeated until it succeeds."])
+    @Option(names = ["--wait-millis"], description = ["Time for which requests are repeated until they succeed."])
     private var waitMillis: Long = 0
 
     override fun call(): Int {
         val end = System.nanoTime() + Duration.ofMillis(waitMillis).toNanos()
-        while (!succeeds()) {
-            if (System.nanoTime() >= end) return 1
+        return if (targets.all { succeeds(it, end) }) 0 else 1
+    }
+
+    private fun succeeds(target: String, end: Long): Boolean {
+        while (!succeedsOnce(target)) {
+            if (System.nanoTime() >= end) return false
             Thread.sleep(RETRY_PAUSE_MILLIS)
         }
-        return 0
+        return true
     }
 
-    private fun succeeds(): Boolean =
+    private fun succeedsOnce(target: String): Boolean =
         try {
-            val response = client.send(request(), HttpResponse.BodyHandlers.ofString())
+            val response = client.send(request(target), HttpResponse.BodyHandlers.ofString())
             val succeeded = response.statusCode() == OK
             val lastLine = if (succeeded || waitMillis == 0L) response.body() else ""
             if (lastLine.isNotEmpty()) spec.commandLine().out.println(lastLine)
@@ -55,7 +59,7 @@
             false
         }
 
-    private fun request(): HttpRequest =
+    private fun request(target: String): HttpRequest =
         HttpRequest
             .newBuilder(URI("http://$target"))
             .timeout(Duration.ofSeconds(TIMEOUT_SECONDS))
