Accept a restart whose clock is behind and start the watch after the seeds

A host that booted with an earlier clock was ignored for as long as its former run was remembered. Any live run now follows one that is gone. A process starts to read the configuration 300 to 600 ms after its start, so that processes that start together know each other before they choose watchers. Probes whose timer fires late are not held against the peer. A store that has another edit under the generation in effect is logged as an error.

--- a/core/src/main/kotlin/dev/hibiscusreach/core/configuration/ConfigurationPart.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/configuration/ConfigurationPart.kt
@@ -13,7 +13,7 @@
 internal class ConfigurationPart : Part {
     override fun handle(state: ProxyState, event: Event, context: StepContext): Step =
         when (event) {
-            is Event.Started -> StoreWatch(context).resume(state)
+            is Event.Started -> StorePause(context).beforeFirstRead(state)
             is Event.TimerFired -> timerFired(state, event.key, context)
             is Event.PeerMessageReceived -> PeerExchange(context).received(state, event.from, event.message)
             is Event.PeerUnreachable -> PeerExchange(context).unreachable(state, event.peer)
--- a/core/src/main/kotlin/dev/hibiscusreach/core/configuration/StorePause.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/configuration/StorePause.kt
@@ -11,6 +11,12 @@
 
 /** Pauses between calls to the platform's store. */
 internal class StorePause(private val context: StepContext) {
+    /** Waits until the seeds have answered, so that processes that start together do not all act as watchers. */
+    fun beforeFirstRead(state: ProxyState): Step {
+        val jitter = context.randomFor("first read").nextLong(FIRST_READ.value)
+        return schedule(state, FIRST_READ + Millis(jitter))
+    }
+
     /** Waits longer after each failure in a row, with jitter so that watchers do not return all at once. */
     fun afterFailure(state: ProxyState, reason: String): Step {
         val failures = state.configuration.store.failures
@@ -28,6 +34,7 @@
         )
 
     private companion object {
+        val FIRST_READ = 300.milliseconds
         val FIRST_RETRY = 250.milliseconds
 
         /** The longest pause is 2 to 4 s, so that a change is in effect within seconds after an outage. */
--- a/core/src/main/kotlin/dev/hibiscusreach/core/configuration/StoreWatch.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/configuration/StoreWatch.kt
@@ -98,6 +98,8 @@
         return when {
             root.generation > inEffect -> follow(chunkReading.start(read, root))
             root.generation < inEffect -> follow(writeBack.start(read, version))
+            StoreConflict.exists(state, root) ->
+                continueWatch(read, phase, isNews).withEffects(StoreConflict.report(root))
             else -> continueWatch(read, phase, isNews)
         }
     }
--- a/core/src/main/kotlin/dev/hibiscusreach/core/membership/FailureDetector.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/membership/FailureDetector.kt
@@ -95,11 +95,9 @@
             .then { Step(it.withProtocol { copy(nextSequence = nextSequence + 1) }) }
     }
 
-    // After a pause of this process the acknowledgement may wait unread; the peer is not to blame.
-    private fun isLate(state: ProxyState, probe: Probe.Own): Boolean {
-        val settings = state.settings.membership
-        return context.now - probe.sentAt > settings.pingTimeout + settings.pauseThreshold
-    }
+    // If this process is too slow to handle its timers, the acknowledgement may wait unread.
+    private fun isLate(state: ProxyState, probe: Probe.Own): Boolean =
+        context.now - probe.sentAt > state.settings.membership.pingTimeout * 2
 
     private fun ProxyState.startRound(): ProxyState {
         val order: List<Endpoint> = membership.livePeers().map { it.node.peerEndpoint }
--- a/core/src/main/kotlin/dev/hibiscusreach/core/membership/Peer.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/membership/Peer.kt
@@ -20,9 +20,23 @@
     /** The gossip entry that describes this peer. */
     fun toUpdate(): PeerUpdate = PeerUpdate(node, failureDomain, condition, refutation)
 
-    /** Whether [update], which is about the same run, is newer than what is known. */
+    /** Whether [update], which is about the same endpoint, is newer than what is known. */
     internal fun isSupersededBy(update: PeerUpdate): Boolean =
-        update.refutation > refutation || update.refutation == refutation && update.condition.rank > condition.rank
+        if (update.node == node) {
+            update.refutation > refutation || update.refutation == refutation && update.condition.rank > condition.rank
+        } else {
+            isFollowedBy(update)
+        }
+
+    // Any run follows one that is gone, because the clock of a restarted host can be behind. A run that is gone never
+    // replaces another one, so that the news of it cannot displace the run that followed.
+    private fun isFollowedBy(update: PeerUpdate): Boolean =
+        when (update.condition) {
+            PeerCondition.GONE -> false
+            PeerCondition.SUSPECTED -> update.node.replaces(node)
+            PeerCondition.ALIVE, PeerCondition.DRAINING ->
+                condition == PeerCondition.GONE || update.node.replaces(node)
+        }
 
     internal companion object {
         fun of(update: PeerUpdate, known: Peer?, now: MonotonicTime): Peer =
--- a/core/src/main/kotlin/dev/hibiscusreach/core/membership/PeerUpdates.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/membership/PeerUpdates.kt
@@ -30,8 +30,7 @@
             update.node == membership.self -> refute(state, update)
             update.node.peerEndpoint == membership.self.peerEndpoint -> Step(state)
             known == null && update.condition == PeerCondition.GONE -> Step(state)
-            known == null || update.node.replaces(known.node) -> change(state, known, update, spread)
-            known.node == update.node && known.isSupersededBy(update) -> change(state, known, update, spread)
+            known == null || known.isSupersededBy(update) -> change(state, known, update, spread)
             else -> Step(state)
         }
     }
--- a/core/src/test/kotlin/dev/hibiscusreach/core/membership/MembershipPartTest.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/membership/MembershipPartTest.kt
@@ -76,6 +76,19 @@
         }
     }
 
+    // Guards against a host that is ignored because its clock was wrong when it booted.
+    @Test
+    fun `a restart with an earlier clock replaces the run that is gone`() {
+        val nodes = fleet.startAll(count = 6)
+        val earlier = nodes[2]
+
+        val restarted = fleet.start(3, earlier.domain, startedAtMillis = -1)
+        fleet.run(seconds = 15)
+
+        expectThat(nodes - earlier).all { get { isLive(restarted) }.isTrue() }
+        expectThat(restarted.membership.livePeers()).hasSize(5)
+    }
+
     // Guards against false alarms by one broken path.
     @Test
     fun `peers that cannot reach each other directly are kept alive by pings through others`() {
--- a/core/src/test/kotlin/dev/hibiscusreach/core/membership/TestFleet.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/membership/TestFleet.kt
@@ -34,8 +34,13 @@
     private var order = 0L
 
     /** Starts process [number] of [domain]; a number that was used before is a restart at the same endpoint. */
-    fun start(number: Int, domain: String = "yard", seeds: List<Int> = listOf(1)): TestNode {
-        val identity = NodeIdentity(endpoint(number), startedAtMillis = now, nonce = 0)
+    fun start(
+        number: Int,
+        domain: String = "yard",
+        seeds: List<Int> = listOf(1),
+        startedAtMillis: Long = now,
+    ): TestNode {
+        val identity = NodeIdentity(endpoint(number), startedAtMillis, nonce = 0)
         val node = TestNode(ProxySettings(identity, FailureDomainName(domain), seeds.map(::endpoint)))
         nodes[identity.peerEndpoint] = node
         deliver(node, Event.Started)
