--- a/core/src/main/kotlin/dev/hibiscusreach/core/configuration/ConfigurationPages.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/configuration/ConfigurationPages.kt
@@ -9,7 +9,7 @@
 
 /** Splits a configuration so that each part fits into one message between proxies. */
 internal object ConfigurationPages {
-    /** Entries in a page. An entry with names of full length takes less than 800 bytes, and a frame holds 1 MiB. */
+    /** Entries in a page. An entry with names of full length takes less than 500 bytes, and a frame holds 1 MiB. */
     const val MAXIMUM_WEIGHT: Int = 1_000
 
     /** The pages of [configuration], in order; at least one. */
