Handle leaving primaries, abandoned terms and stuck replicas

Several cases left a group without progress: a term claimed by a proposer that died, a server fenced alone, a primary that is leaving, and a replica that forgot whom it follows. Every event is checked for a pause of the process before it is handled, PrimaryChanged is derived from the state, and an entry of a new term settles the log before it.

--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/ControlCalls.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/ControlCalls.kt
@@ -8,7 +8,6 @@
 import dev.hibiscusreach.core.model.ServerName
 
 internal fun GroupsTurn.controlAnswered(event: Event.ControlAnswered) {
-    noticePause()
     val call = endCall(event.call) ?: return
     // An endpoint that was given to another server answers with that server's name.
     if (event.answer.status.server != call.server) {
--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/Durability.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/Durability.kt
@@ -32,11 +32,15 @@
 /** Sends a Confirm of the highest wanted position to every replica that has none outstanding. */
 internal fun GroupsTurn.sendConfirms(database: DatabaseName) {
     val known = group(database) ?: return
-    val highest = known.durabilityWaits.values.maxByOrNull { it.position } ?: return
-    val command = ControlCommand.Confirm(known.term, highest.position, confirmWait(known).value)
+    val highest =
+        known.durabilityWaits.values
+            .map { it.position }
+            .filter { it.term <= known.term }
+            .maxOrNull() ?: return
+    val command = ControlCommand.Confirm(known.term, highest, confirmWait(known).value)
     known.group.servers
         .map { it.name }
-        .filter { known.canConfirm(it, highest.position) && known.isReachable(it, now) }
+        .filter { known.canConfirm(it, highest) && known.isReachable(it, now) }
         .forEach { replica ->
             update(database) { it.copy(confirms = it.confirms.put(replica, ConfirmChannel.OUTSTANDING)) }
             sendControl(known, replica, command, CONFIRM_WAIT + settings.probeTimeout)
--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/Evidence.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/Evidence.kt
@@ -30,7 +30,10 @@
 internal fun GroupState.withSettled(): GroupState {
     val durable = durable()
     val advanced = durable != Position.ORIGIN && !isSettled(durable)
-    return if (advanced) copy(settled = settled.put(durable.term, durable.index).bounded()) else this
+    // An entry of the current term has the primary's whole log before it.
+    val start = termStart?.takeIf { advanced && durable.term == term && !isSettled(it) }
+    val settledStart = start?.let { settled.put(it.term, it.index) } ?: settled
+    return if (advanced) copy(settled = settledStart.put(durable.term, durable.index).bounded()) else this
 }
 
 private fun PersistentMap<Term, Long>.bounded() =
--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/FailoverState.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/FailoverState.kt
@@ -51,6 +51,8 @@
         override val proposedTerm: Term,
         val version: Long,
         val startedAt: MonotonicTime,
+        /** The primary that is to be replaced; null if it works and only its term has to be renewed. */
+        val avoided: ServerName?,
         val fenced: PersistentMap<ServerName, Position> = persistentMapOf(),
     ) : FailoverState
 
--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/Fencing.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/Fencing.kt
@@ -3,19 +3,16 @@
 import dev.hibiscusreach.core.event.ControlAnswer
 import dev.hibiscusreach.core.event.ControlCommand
 import dev.hibiscusreach.core.event.Effect
-import dev.hibiscusreach.core.event.Signal
 import dev.hibiscusreach.core.event.TimerKey
 import dev.hibiscusreach.core.model.DatabaseName
 import dev.hibiscusreach.core.model.Term
 
 /** Makes the servers refuse every term below the claimed one. */
 internal fun GroupsTurn.startFencing(database: DatabaseName, term: Term, version: Long) {
-    val before = group(database) ?: return
-    moveTo(database, FailoverState.Fencing(term, version, startedAt = now))
+    val known = group(database) ?: return
+    val avoided = known.primary?.takeIf { known.primaryIsUnfit(now) }
+    moveTo(database, FailoverState.Fencing(term, version, startedAt = now, avoided))
     noteTerm(database, term)
-    if (before.servingPrimary() != null) {
-        signal(Signal.PrimaryChanged(database, before.term, primary = null))
-    }
     sendFences(database)
 }
 
@@ -55,7 +52,7 @@
     val missing = known.group.servers.map { it.name }.filter { it !in failover.fenced && known.isReachable(it, now) }
     val waitOver = now - failover.startedAt >= settings.fenceWait
     val complete = missing.isEmpty() || waitOver
-    val server = known.bestCandidate(failover, groups.leavingServers)
+    val server = known.bestCandidate(failover)
     if (complete && failover.fenced.size >= known.group.majority && server != null) {
         promote(database, FailoverState.Promoting(failover.proposedTerm, failover.version, now, server))
     }
--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/GroupState.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/GroupState.kt
@@ -1,7 +1,6 @@
 package dev.hibiscusreach.core.group
 
 import dev.hibiscusreach.core.event.AttemptNumber
-import dev.hibiscusreach.core.event.ServerRole
 import dev.hibiscusreach.core.model.DatabaseGroup
 import dev.hibiscusreach.core.model.DatabaseName
 import dev.hibiscusreach.core.model.MonotonicTime
@@ -53,6 +52,8 @@
     val confirms: PersistentMap<ServerName, ConfirmChannel> = persistentMapOf(),
     val failover: FailoverState = FailoverState.Watching,
     val failoverNotBefore: MonotonicTime = ServerHealth.NEVER,
+    /** Servers of the group that the platform lists as leaving. */
+    val listedLeaving: Set<ServerName> = emptySet(),
     /** When this process stopped being the home; the group is dropped some time later. */
     val retiredAt: MonotonicTime? = null,
 ) {
@@ -70,20 +71,15 @@
     fun isReachable(server: ServerName, now: MonotonicTime): Boolean =
         healthOf(server).isReachable(now, settings.suspicionAfter)
 
+    /** Whether the server itself or the platform reports that it is leaving. */
+    fun isLeaving(server: ServerName): Boolean = server in listedLeaving || healthOf(server).status?.leaving == true
+
     /** The primary of the current term, or null while it is not known or being replaced. */
     fun servingPrimary(): ServerName? {
         val replacing = failover is FailoverState.Fencing || failover is FailoverState.Promoting
         return primary?.takeUnless { replacing || isDeposed(it) }
     }
 
-    /** Whether the server itself reports that it is not the primary of the current term any more. */
-    fun isDeposed(server: ServerName): Boolean {
-        val known = healthOf(server)
-        val status = known.status ?: return false
-        val demoted = status.role == ServerRole.REPLICA && known.statusSentAt >= adoptedAt
-        return status.term > term || (status.term == term && demoted)
-    }
-
     /** Latest time T such that a majority answered in the current term to something sent at or after T. */
     fun leadershipVerifiedAt(): MonotonicTime? =
         ofMajority { healthOf(it).answeredInTermAt.takeIf { _ -> healthOf(it).term == term } }
--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/GroupsPart.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/GroupsPart.kt
@@ -27,7 +27,10 @@
         }
 
     private fun turn(state: ProxyState, context: StepContext, action: GroupsTurn.() -> Unit): Step =
-        GroupsTurn(state, context).apply(action).toStep()
+        GroupsTurn(state, context)
+            .apply { noticePause() }
+            .apply(action)
+            .toStep()
 }
 
 private fun GroupsTurn.started() {
@@ -39,14 +42,10 @@
 private fun GroupsTurn.timerFired(key: TimerKey) {
     when (key) {
         is TimerKey.ProbePeriod -> {
-            noticePause()
             dropRetired()
             tick()
         }
-        is TimerKey.FailoverStep -> {
-            noticePause()
-            failoverStepDue(key.database)
-        }
+        is TimerKey.FailoverStep -> failoverStepDue(key.database)
         is TimerKey.DurabilityTimeout -> durabilityTimedOut(key.attempt)
         is TimerKey.LeadershipTimeout -> leadershipTimedOut(key.attempt)
         else -> Unit
@@ -55,7 +54,6 @@
 
 private fun GroupsTurn.platformAnswered(event: Event.PlatformAnswered) {
     if (event.call.owner != PartName.GROUPS) return
-    noticePause()
     groups.databases.values
         .find { it.failover.platformCall == event.call }
         ?.let { takePlatformAnswer(it, event.answer) }
@@ -73,7 +71,7 @@
 private fun GroupsTurn.signalReceived(signal: Signal) {
     when (signal) {
         is Signal.MembershipChanged, is Signal.ConfigurationChanged -> selectHomes()
-        is Signal.LeavingServersListed -> groups = groups.copy(leavingServers = signal.servers)
+        is Signal.LeavingServersListed -> listLeaving(signal.servers)
         is Signal.PauseDetected -> resume()
         is Signal.ServerObserved -> observeSession(signal)
         is Signal.ServerFailed -> serverFailed(signal.server, signal.failure)
--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/GroupsState.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/GroupsState.kt
@@ -48,7 +48,7 @@
 
     /** All servers of [database] as routing sees them; empty if this process is not a home of it. */
     fun servers(database: DatabaseName, now: MonotonicTime): List<ServerView> =
-        databases[database]?.let { group -> group.group.servers.map { group.view(it.name, leavingServers, now) } }
+        databases[database]?.let { group -> group.group.servers.map { group.view(it.name, now) } }
             ?: emptyList()
 
     /** The highest position of the current term that a majority of the group is known to hold. */
--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/GroupsTurn.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/GroupsTurn.kt
@@ -11,6 +11,7 @@
 import dev.hibiscusreach.core.model.Millis
 import dev.hibiscusreach.core.model.MonotonicTime
 import dev.hibiscusreach.core.model.ServerName
+import dev.hibiscusreach.core.model.Term
 import dev.hibiscusreach.core.reducer.GroupSettings
 import dev.hibiscusreach.core.reducer.ProxyState
 import dev.hibiscusreach.core.reducer.Step
@@ -81,5 +82,22 @@
         return call
     }
 
-    fun toStep(): Step = Step(state.copy(groups = groups), effects, signals)
+    fun toStep(): Step = Step(state.copy(groups = groups), effects, primaryChanges() + signals)
+
+    private fun primaryChanges(): List<Signal> =
+        if (groups.databases === state.groups.databases) {
+            emptyList()
+        } else {
+            (groups.databases.keys + state.groups.databases.keys).mapNotNull(::primaryChange)
+        }
+
+    private fun primaryChange(database: DatabaseName): Signal? {
+        val before = state.groups.databases[database]
+        val after = groups.databases[database]
+        val primary = after?.servingPrimary()
+        val term = after?.term ?: before?.term ?: Term(0)
+        val newTerm = primary != null && term != before?.term
+        val changed = before !== after && (newTerm || primary != before?.servingPrimary())
+        return if (changed) Signal.PrimaryChanged(database, term, primary) else null
+    }
 }
--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/Homes.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/Homes.kt
@@ -7,6 +7,7 @@
 import dev.hibiscusreach.core.model.DatabaseGroup
 import dev.hibiscusreach.core.model.DatabaseName
 import dev.hibiscusreach.core.model.NodeIdentity
+import dev.hibiscusreach.core.model.ServerName
 import dev.hibiscusreach.core.model.inSeconds
 import dev.hibiscusreach.core.reducer.DatabaseHomes
 import kotlinx.collections.immutable.PersistentMap
@@ -17,15 +18,25 @@
 /** Starts and ends the monitoring of groups after the members or the configuration changed. */
 internal fun GroupsTurn.selectHomes() {
     val index = state.configuration.index
-    val input = HomesInput(index.generation, state.membership.takingWork(state.settings.failureDomain))
+    val candidates = state.membership.takingWork(state.settings.failureDomain)
+    val input = HomesInput(index.generation, candidates)
     // Hashing all databases over all nodes of the domain is costly; most membership changes are in other domains.
     if (input == groups.homesInput) return
     groups = groups.copy(homesInput = input)
-    val own = index.databaseGroups.filter { DatabaseHomes.isHome(state, it) }.associateBy { it.name }
+    val own = index.databaseGroups.filter { DatabaseHomes.isHome(state, it, candidates) }.associateBy { it.name }
     own.values.forEach(::monitor)
     groups.databases.keys.filter { it !in own }.forEach(::retire)
 }
 
+/** Remembers which servers the platform lists as leaving. */
+internal fun GroupsTurn.listLeaving(servers: Set<ServerName>) {
+    groups = groups.copy(leavingServers = servers)
+    groups.databases.values.forEach { known ->
+        val listed = known.group.listedIn(servers)
+        if (listed != known.listedLeaving) update(known.name) { it.copy(listedLeaving = listed) }
+    }
+}
+
 /** Drops the groups whose requests in flight had time to end. A draining process keeps them until it exits. */
 internal fun GroupsTurn.dropRetired() {
     if (state.drainPhase != DrainPhase.SERVING) return
@@ -43,7 +54,12 @@
 private fun GroupsTurn.monitor(group: DatabaseGroup) {
     val known = groups.databases[group.name]
     if (known == null) {
-        val started = GroupState(group = group, settings = settings, monitoredSince = now)
+        val started = GroupState(
+            group = group,
+            settings = settings,
+            monitoredSince = now,
+            listedLeaving = group.listedIn(groups.leavingServers),
+        )
         groups = groups.copy(databases = groups.databases.put(group.name, started))
         probe(group.name)
     } else {
@@ -57,11 +73,17 @@
     if (configured == null) {
         drop(database)
     } else if (known.retiredAt == null) {
-        update(database) { it.copy(retiredAt = now, failover = FailoverState.Watching) }
-        emit(Effect.CancelTimer(TimerKey.FailoverStep(database)))
+        update(database) { it.copy(retiredAt = now) }
+        endEarlyFailover(known)
     }
 }
 
+// Once the servers are fenced nobody else can promote in that term, so the failover is brought to its end.
+private fun GroupsTurn.endEarlyFailover(known: GroupState) {
+    val late = known.failover is FailoverState.Fencing || known.failover is FailoverState.Promoting
+    if (!late && known.failover !is FailoverState.Recording) pause(known.name)
+}
+
 private fun GroupsTurn.drop(database: DatabaseName) {
     update(database) { it.copy(retiredAt = now) }
     failWaits(database)
@@ -75,3 +97,6 @@
 
 private fun PersistentMap<ControlCallNumber, ControlCall>.without(database: DatabaseName) =
     entries.filter { it.value.database == database }.fold(this) { calls, entry -> calls.remove(entry.key) }
+
+private fun DatabaseGroup.listedIn(leaving: Set<ServerName>): Set<ServerName> =
+    servers.map { it.name }.filter { it in leaving }.toSet()
--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/Observation.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/Observation.kt
@@ -30,7 +30,9 @@
     sentAt: MonotonicTime,
     now: MonotonicTime,
 ): ServerHealth {
-    val returned = known.respondedAt != null && !known.isReachable(now, settings.suspicionAfter)
+    // After a pause of this process all servers seem to have been away.
+    val watched = now - monitoredSince >= settings.suspicionAfter
+    val returned = watched && known.respondedAt != null && !known.isReachable(now, settings.suspicionAfter)
     val health = known.observed(status, sentAt, now)
     // A server that was away may have been restarted and may have forgotten whom it follows.
     return if (returned) health.copy(warmUpFrom = now, followedTerm = null) else health
--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/Pause.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/Pause.kt
@@ -22,8 +22,9 @@
                 monitoredSince = now,
                 highestTermSince = now,
                 failover = FailoverState.Watching,
-                health = it.health.mapValuesPersistent { known ->
-                    known.copy(refusedAt = null, refusedRepeatedly = false)
+                health =
+                it.health.mapValuesPersistent { known ->
+                    known.copy(refusedAt = null, refusedRepeatedly = false, followedTerm = null)
                 },
             )
         }
--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/Probing.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/Probing.kt
@@ -10,7 +10,7 @@
     groups = groups.copy(lastTickAt = now)
     emit(Effect.StartTimer(TimerKey.ProbePeriod, settings.probePeriod))
     groups.databases.keys.forEach { database ->
-        update(database) { it.withConfirmsResumed() }
+        update(database) { it.withConfirmsResumed().withLagJudged(now) }
         probe(database)
         sendConfirms(database)
         probeForLeadership(database)
--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/Promotion.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/Promotion.kt
@@ -89,11 +89,11 @@
     mapOf("database" to database.value, "term" to proposedTerm.toString(), "primary" to server.value)
 
 /** The most advanced of the fenced servers; the replaced primary only if there is no majority without it. */
-internal fun GroupState.bestCandidate(fencing: FailoverState.Fencing, leavingServers: Set<ServerName>): ServerName? {
-    val others = fencing.fenced.filterKeys { it != primary }
+internal fun GroupState.bestCandidate(fencing: FailoverState.Fencing): ServerName? {
+    val others = fencing.fenced.filterKeys { it != fencing.avoided }
     val candidates = if (others.size >= group.majority) others else fencing.fenced
     return group.servers
         .map { it.name }
         .filter { it in candidates }
-        .maxWithOrNull(compareBy({ candidates.getValue(it) }, { !isLeaving(it, leavingServers) }))
+        .maxWithOrNull(compareBy({ candidates.getValue(it) }, { !isLeaving(it) }))
 }
--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/ServerHealth.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/ServerHealth.kt
@@ -18,6 +18,8 @@
     val answeredInTermAt: MonotonicTime = NEVER,
     /** Highest position that the server reported in the term of [status]. */
     val held: Position = Position.ORIGIN,
+    /** When the reported position last changed. */
+    val progressedAt: MonotonicTime = NEVER,
     /** The first refused connection since the latest answer. */
     val refusedAt: MonotonicTime? = null,
     /** Whether connections were refused at two times far enough apart to exclude a single glitch. */
@@ -39,7 +41,11 @@
 
     /** This health after an answer, that arrived now, to something sent at [sentAt]. */
     fun observed(answer: ServerStatus, sentAt: MonotonicTime, now: MonotonicTime): ServerHealth {
-        val responded = withResponse(sentAt, now)
+        val next = withAnswer(answer, sentAt, withResponse(sentAt, now))
+        return if (next.status?.applied != status?.applied) next.copy(progressedAt = now) else next
+    }
+
+    private fun withAnswer(answer: ServerStatus, sentAt: MonotonicTime, responded: ServerHealth): ServerHealth {
         val known = term
         return when {
             known == null || answer.term > known -> responded.inTermOf(answer, sentAt)
--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/ServerViews.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/ServerViews.kt
@@ -13,22 +13,18 @@
 private const val FULL_PERCENT = 100L
 
 /** [server] as routing sees it. */
-internal fun GroupState.view(server: ServerName, leavingServers: Set<ServerName>, now: MonotonicTime): ServerView {
+internal fun GroupState.view(server: ServerName, now: MonotonicTime): ServerView {
     val known = healthOf(server)
     return ServerView(
         name = server,
         reachable = isReachable(server, now) && isUsable(server),
-        leaving = isLeaving(server, leavingServers),
+        leaving = isLeaving(server),
         applied = known.status?.applied ?: Position.ORIGIN,
         latency = Millis((known.latencyMillis ?: 0.0).roundToLong()),
         warmUpPercent = warmUpPercent(known, now),
     )
 }
 
-/** Whether the server itself or the platform reports that it is leaving. */
-internal fun GroupState.isLeaving(server: ServerName, leavingServers: Set<ServerName>): Boolean =
-    server in leavingServers || healthOf(server).status?.leaving == true
-
 // A server that was fenced but does not follow the primary yet may still have entries that were never acknowledged.
 private fun GroupState.isUsable(server: ServerName): Boolean {
     val known = healthOf(server)
--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/Sightings.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/Sightings.kt
@@ -15,7 +15,9 @@
     if (known.term > request.term && known.primary != null) {
         send(from, PeerMessage.GroupAnnounced(known.name, known.term, known.primary))
     }
-    send(from, PeerMessage.SightingReported(known.name, request.term, seen = known.seesPrimary(now)))
+    // What is seen of an earlier term's primary says nothing of the asked one.
+    val seen = known.term >= request.term && known.seesPrimary(now)
+    send(from, PeerMessage.SightingReported(known.name, request.term, seen))
 }
 
 /** Takes in another monitor's answer. */
--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/Terms.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/Terms.kt
@@ -1,6 +1,5 @@
 package dev.hibiscusreach.core.group
 
-import dev.hibiscusreach.core.event.Signal
 import dev.hibiscusreach.core.model.DatabaseName
 import dev.hibiscusreach.core.model.ServerName
 import dev.hibiscusreach.core.model.Term
@@ -22,7 +21,6 @@
     noteTerm(database, term)
     failWaits(database)
     concludeFailover(database)
-    signal(Signal.PrimaryChanged(database, term, primary))
 }
 
 /** Remembers the highest term seen, which stops proposers of lower terms. */
