--- a/core/src/test/kotlin/dev/hibiscusreach/core/group/FakeServer.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/group/FakeServer.kt
@@ -9,12 +9,13 @@
 import dev.hibiscusreach.core.model.Position
 import dev.hibiscusreach.core.model.ServerName
 import dev.hibiscusreach.core.model.Term
+import kotlinx.collections.immutable.persistentListOf
 
 /** A backend server that keeps to the control protocol and holds a log of positions. */
 internal class FakeServer(val name: ServerName, val domain: FailureDomainName) {
     var term = Term(0)
     var role = ServerRole.REPLICA
-    var log = listOf<Position>()
+    var log = persistentListOf<Position>()
     var follows: ServerName? = null
     var up = true
     var stalled = false
@@ -25,9 +26,11 @@
     val status get() = ServerStatus(name, term, role, applied, leaving)
     val applied get() = log.lastOrNull() ?: Position.ORIGIN
 
+    fun holds(position: Position): Boolean = log.getOrNull(position.index.toInt() - 1) == position
+
     fun write(): Position {
         check(role == ServerRole.PRIMARY) { "$name is no primary" }
-        return Position(term, log.size + 1L).also { log = log + it }
+        return Position(term, log.size + 1L).also { log = log.add(it) }
     }
 
     fun replicateFrom(primary: FakeServer) {
@@ -53,6 +56,8 @@
             answer(accepted = false).takeIf { waitOver }
         }
 
+    fun fenceFor(term: Term, proposer: NodeIdentity) = fence(ControlCommand.Fence(term, proposer))
+
     private fun fence(command: ControlCommand.Fence): Boolean {
         val accepted = command.term > term || (command.term == term && command.proposer == fencedBy)
         if (accepted && command.term > term) {
--- a/core/src/test/kotlin/dev/hibiscusreach/core/group/GroupSimulation.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/group/GroupSimulation.kt
@@ -7,7 +7,6 @@
 import dev.hibiscusreach.core.event.Effect
 import dev.hibiscusreach.core.event.Event
 import dev.hibiscusreach.core.event.PartName
-import dev.hibiscusreach.core.event.PeerMessage
 import dev.hibiscusreach.core.event.ServerRole
 import dev.hibiscusreach.core.event.Signal
 import dev.hibiscusreach.core.event.TimedEvent
@@ -36,21 +35,26 @@
 import dev.hibiscusreach.core.reducer.Step
 import kotlinx.collections.immutable.persistentMapOf
 import java.util.PriorityQueue
+import kotlin.random.Random
 
 /** One database group with a server and a home in each failure domain, on simulated time. */
-internal class GroupSimulation(domainCount: Int = 3, homes: Int = domainCount) {
+internal class GroupSimulation(domainCount: Int = 3, seed: Int = 1) {
     val database = DatabaseName("jobs")
     val domains = (1..domainCount).map { FailureDomainName("domain-$it") }
     val servers = domains.map { FakeServer(ServerName("server-${it.value}"), it) }
     val platform = FakePlatform()
-    val nodes = domains.take(homes).map { Node(it) }
+    val nodes = domains.map { Node(it) }
     val cuts = mutableSetOf<Set<FailureDomainName>>()
 
+    /** Pairs of domains whose homes lose all messages to each other, although servers are reached. */
+    val mutedPeers = mutableSetOf<Set<FailureDomainName>>()
+
     /** Extra one-way delay of everything that leaves or reaches a domain. */
     val slowness = mutableMapOf<FailureDomainName, Long>()
     var now = START
     private val queue = PriorityQueue<Scheduled>(compareBy({ it.at }, { it.order }))
     private var order = 0L
+    private val random = Random(seed)
     private val group =
         DatabaseGroup(
             database,
@@ -120,11 +124,11 @@
         queue += Scheduled(now + delay, order++, action)
     }
 
-    private fun isConnected(first: FailureDomainName, second: FailureDomainName): Boolean =
+    fun isConnected(first: FailureDomainName, second: FailureDomainName): Boolean =
         setOf(first, second) !in cuts
 
     private fun latency(first: FailureDomainName, second: FailureDomainName): Long =
-        LATENCY + (slowness[first] ?: 0) + (slowness[second] ?: 0)
+        LATENCY + random.nextLong(JITTER) + (slowness[first] ?: 0) + (slowness[second] ?: 0)
 
     private class Scheduled(val at: Long, val order: Long, val action: () -> Unit)
 
@@ -132,7 +136,7 @@
     inner class Node(val domain: FailureDomainName) {
         val identity = NodeIdentity(Endpoint("10.0.0.1", domains.indexOf(domain)), startedAtMillis = 1, nonce = 1)
         val signals = mutableListOf<Signal>()
-        val messages = mutableListOf<PeerMessage>()
+        val commands = mutableListOf<ControlCommand>()
         var frozen = false
             private set
         private val recorder = Part { state, event, _ -> Step(state).also { if (event is Signal) signals += event } }
@@ -169,6 +173,8 @@
             transition.effects.forEach(::perform)
         }
 
+        fun isFencing(): Boolean = groups.databases[database]?.failover is FailoverState.Fencing
+
         fun freeze() {
             frozen = true
         }
@@ -224,9 +230,8 @@
         }
 
         private fun message(effect: Effect.SendPeerMessage) {
-            messages += effect.message
             val peer = nodes.first { it.identity == effect.to }
-            if (isConnected(domain, peer.domain)) {
+            if (isConnected(domain, peer.domain) && setOf(domain, peer.domain) !in mutedPeers) {
                 schedule(latency(domain, peer.domain)) {
                     peer.receive(Event.PeerMessageReceived(identity, effect.message))
                 }
@@ -234,6 +239,7 @@
         }
 
         private fun control(effect: Effect.SendControlCommand) {
+            commands += effect.command
             val server = servers.first { it.name == effect.server }
             val deadline = now + effect.timeout.value
             val failAt = { at: Long, failure: ConnectionFailure ->
@@ -268,6 +274,7 @@
     private companion object {
         const val START = 1_000_000L
         const val LATENCY = 1L
+        const val JITTER = 3L
         const val REPLICATION_PERIOD = 2L
     }
 }
--- /dev/null
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/group/ProposerTest.kt
@@ -0,0 +1,107 @@
+package dev.hibiscusreach.core.group
+
+import dev.hibiscusreach.core.event.ServerRole
+import dev.hibiscusreach.core.model.Term
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.hasSize
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
+import strikt.assertions.isNotEqualTo
+
+class ProposerTest {
+    private val simulation = GroupSimulation().apply { awaitPrimary() }
+    private val old = simulation.primary
+    private val nodes = simulation.nodes
+
+    private fun proposer() = nodes.first { it.isFencing() }
+
+    // Guards against a failover caused by one slow link, which would interrupt all other domains.
+    @Test
+    fun `slowness seen from one domain only replaces nobody`() {
+        val slow = nodes.first { it.domain != old.domain }
+        simulation.slowness[slow.domain] = 700
+        simulation.run(10_000)
+
+        expectThat(nodes.map { it.groups.term(simulation.database) }).all { isEqualTo(old.term) }
+        expectThat(simulation.platform.record("group/jobs")?.term).isEqualTo(old.term)
+    }
+
+    // Guards against a proposer that goes on with an outdated term after a pause.
+    @Test
+    fun `a proposer frozen before the promotion resumes without harm`() {
+        old.up = false
+        simulation.runUntil { nodes.any { it.isFencing() } }
+        val frozen = proposer().apply { freeze() }
+        simulation.awaitPrimary(above = old.term)
+        val replacement = simulation.primary
+        simulation.run(3_000)
+        frozen.resume()
+        simulation.run(3_000)
+
+        expectThat(simulation.primary).isEqualTo(replacement)
+        expectThat(nodes.map { it.groups.primary(simulation.database) }).all { isEqualTo(replacement.name) }
+        expectThat(simulation.servers.filter { it.up && it.role == ServerRole.PRIMARY }).hasSize(1)
+    }
+
+    // Guards against a term left claimed and fenced for good by a proposer that died.
+    @Test
+    fun `a term abandoned by its proposer is passed over`() {
+        old.up = false
+        simulation.runUntil { nodes.any { it.isFencing() } }
+        proposer().freeze()
+
+        expectThat(simulation.awaitPrimary(above = old.term)).isLessThan(6_000)
+        expectThat(simulation.primary.term).isEqualTo(Term(3))
+    }
+
+    // Guards against two primaries in one term when monitors that cannot reach each other propose at the same time.
+    @Test
+    fun `two proposers that do not hear each other promote one server per term`() {
+        val others = nodes.filter { it.domain != old.domain }.map { it.domain }
+        simulation.mutedPeers += others.toSet()
+        old.up = false
+        simulation.awaitPrimary(above = old.term)
+        simulation.run(5_000)
+
+        val promotions = simulation.servers.flatMap { it.promotedIn }
+        expectThat(promotions.distinct()).isEqualTo(promotions)
+        expectThat(nodes.map { it.groups.primary(simulation.database) }.distinct()).hasSize(1)
+    }
+
+    // Guards against a promotion decided with what was known before this process was paused.
+    @Test
+    fun `a process that was paused probes before it suspects`() {
+        nodes.forEach { it.freeze() }
+        simulation.run(30_000)
+        nodes.forEach { it.resume() }
+        simulation.run(3_000)
+
+        expectThat(nodes.map { it.groups.term(simulation.database) }).all { isEqualTo(old.term) }
+        expectThat(simulation.platform.record("group/jobs")?.term).isEqualTo(old.term)
+    }
+
+    // Guards against new work on a primary whose host is about to disappear.
+    @Test
+    fun `a leaving primary is replaced while it still works`() {
+        simulation.run(2_000)
+        old.leaving = true
+
+        expectThat(simulation.awaitPrimary(above = old.term)).isLessThan(2_000)
+        expectThat(simulation.primary).isNotEqualTo(old)
+        simulation.run(5_000)
+        expectThat(simulation.primary.term).isEqualTo(Term(2))
+    }
+
+    // Guards against a server that stays out of its group because a proposer fenced it and died.
+    @Test
+    fun `a server fenced alone gets back into the group`() {
+        val stray = simulation.replicas.first()
+        stray.fenceFor(Term(2), nodes.last().identity)
+        simulation.run(8_000)
+
+        expectThat(simulation.servers.map { it.term }.distinct()).hasSize(1)
+        expectThat(simulation.replicas.map { it.follows }).all { isEqualTo(simulation.primary.name) }
+    }
+}
