Keep forwarded reads at their peer while it is up

A forwarded read was sent to another home after a second without an answer. During a failover it waits for the new primary at its home, so that it went from home to home and used the retry budget up. Sending a request to another home no longer counts as a retry of the database, because the lost peer may never have passed it to a server.

A read goes to the primary at once if no replica takes reads. The phases of a shutdown are logged.

--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/Draining.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/Draining.kt
@@ -1,6 +1,8 @@
 package dev.hibiscusreach.core.request
 
 import dev.hibiscusreach.core.event.DrainPhase
+import dev.hibiscusreach.core.event.Effect
+import dev.hibiscusreach.core.event.LogLevel
 import dev.hibiscusreach.core.event.Signal
 import dev.hibiscusreach.core.event.TimerKey
 
@@ -39,7 +41,15 @@
     if (slice.drainPhase == DrainPhase.FINISHING && idle) advance(DrainPhase.FINISHED)
 }
 
+private fun Turn.progress(phase: DrainPhase): Map<String, String> =
+    mapOf(
+        "phase" to phase.name.lowercase(),
+        "requests" to slice.pending.size.toString(),
+        "transactions" to slice.transactions.size.toString(),
+    )
+
 private fun Turn.advance(phase: DrainPhase) {
     slice = slice.copy(drainPhase = phase)
     signal(Signal.DrainAdvanced(phase))
+    emit(Effect.Log(LogLevel.INFO, "graceful shutdown advanced", progress(phase)))
 }
--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/Forwarding.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/Forwarding.kt
@@ -7,10 +7,8 @@
 import dev.hibiscusreach.core.model.CallerAnswer
 import dev.hibiscusreach.core.model.ErrorKind
 import dev.hibiscusreach.core.model.Millis
-import dev.hibiscusreach.core.model.MonotonicTime
 import dev.hibiscusreach.core.model.NodeIdentity
 import dev.hibiscusreach.core.model.RequestBody
-import dev.hibiscusreach.core.model.inSeconds
 
 /** Part of the remaining time that the way to a peer and back may take: 16 ms over the link between regions. */
 private const val TRANSIT_MILLIS = 50L
@@ -18,8 +16,7 @@
 /** The transit allowance is at most this fraction of the remaining time, so that short deadlines keep most of it. */
 private const val TRANSIT_DIVISOR = 10
 
-/** Reads do no harm twice, so that one is sent elsewhere before a lost peer is detected, which takes up to 3 s. */
-private val REPEATABLE_FORWARD_WAIT: Millis = 1.inSeconds
+private const val PEER = "peer"
 
 /** Lets [peer] carry [request] out. */
 internal fun Turn.forward(request: PendingRequest, peer: NodeIdentity) {
@@ -30,12 +27,9 @@
     count(CounterName.FORWARDED_REQUESTS, fleet.domainOf(peer)?.value.orEmpty())
     val forwarded = requestToForward(request).copy(deadline = allowed)
     emit(Effect.SendPeerMessage(peer, PeerMessage.ForwardedRequest(number, request.hops + 1, forwarded)))
-    enter(request, RequestPhase.Forwarded(number, peer), forwardWaitEnd(request))
+    enter(request, RequestPhase.Forwarded(number, peer), request.deadline)
 }
 
-private fun Turn.forwardWaitEnd(request: PendingRequest): MonotonicTime =
-    if (request.work.leavesOutcomeOpen) request.deadline else now + REPEATABLE_FORWARD_WAIT
-
 private fun requestToForward(request: PendingRequest) =
     when (val work = request.work) {
         is Work.Resolve -> request.request.copy(body = RequestBody.ResolveOutcome(work.identifier))
@@ -91,8 +85,16 @@
         is Work.Run, is Work.Rollback ->
             refuseAsSettled(free, ErrorKind.OUTCOME_UNKNOWN, "the proxy that holds the transaction cannot be reached")
 
-        is Work.Resolve -> route(free)
+        // Sending a request to another home is no retry: the lost peer may never have passed it to a server.
+        is Work.Read, is Work.Begin, is Work.Resolve -> route(free)
+
+        is Work.Write ->
+            if (work.key == null) {
+                route(keep(free.copy(mayHaveRun = true)))
+            } else {
+                attemptLost(free, work, PEER)
+            }
 
-        else -> attemptLost(free, work, "peer")
+        is Work.Commit -> attemptLost(free, work, PEER)
     }
 }
--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/Losses.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/Losses.kt
@@ -59,7 +59,7 @@
 
 private fun Turn.phaseOver(request: PendingRequest) {
     when (val phase = request.phase) {
-        is RequestPhase.Arrived -> Unit
+        is RequestPhase.Arrived, is RequestPhase.Forwarded -> Unit
 
         is RequestPhase.AwaitingReplica -> route(request.copy(replicaWaitOver = true))
 
@@ -73,8 +73,6 @@
         is RequestPhase.Sent -> giveUp(request, phase, "timeout")
 
         is RequestPhase.Verifying -> notVerified(phase.attempt)
-
-        is RequestPhase.Forwarded -> if (!request.work.leavesOutcomeOpen) forwardLost(request, phase.peer)
     }
 }
 
--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/Routing.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/Routing.kt
@@ -39,7 +39,7 @@
     val choice = chooseForRead(request, read, group)
     when {
         choice is ReadChoice.Chosen -> routeToServer(request, choice.candidate.server, group)
-        request.replicaWaitOver || read.maximumAge.value == 0L -> routeToPrimary(request, group)
+        choice is ReadChoice.PrimaryOnly || request.replicaWaitOver -> routeToPrimary(request, group)
         request.phase !is RequestPhase.AwaitingReplica -> awaitReplica(request)
     }
 }
--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/ServerChoice.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/ServerChoice.kt
@@ -17,8 +17,11 @@
     /** [candidate] is fresh enough. */
     data class Chosen(val candidate: Candidate) : ReadChoice
 
-    /** No replica is known to be fresh enough. */
+    /** Replicas take reads, but none is known to be fresh enough. */
     data object NoFreshReplica : ReadChoice
+
+    /** No replica takes reads, or the read asks for the newest data. */
+    data object PrimaryOnly : ReadChoice
 }
 
 private const val PERCENT = 100
@@ -34,10 +37,10 @@
     val candidates = candidates(request, group)
     val replicas = candidates.filter { !it.primary && isFresh(request, read, it) }
     val warm = replicas.filter { context.random.mod(PERCENT) < it.view.warmUpPercent }.ifEmpty { replicas }
-    return if (warm.isEmpty()) {
-        ReadChoice.NoFreshReplica
-    } else {
-        ReadChoice.Chosen((warm + candidates.filter { it.primary }).minWith(readOrder()))
+    return when {
+        warm.isNotEmpty() -> ReadChoice.Chosen((warm + candidates.filter { it.primary }).minWith(readOrder()))
+        read.maximumAge.value == 0L || candidates.all { it.primary } -> ReadChoice.PrimaryOnly
+        else -> ReadChoice.NoFreshReplica
     }
 }
 
--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/Verification.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/Verification.kt
@@ -50,7 +50,9 @@
         work is Work.Read -> isLed(request, phase) || isYoungEnough(request, work, phase)
 
         // A transaction that only read has no new entry whose durability would show that its server still led.
-        work is Work.Commit || phase.answer is SessionAnswer.Behind -> isLed(request, phase)
+        work is Work.Commit -> phase.durable || isLed(request, phase)
+
+        phase.answer is SessionAnswer.Behind -> isLed(request, phase)
 
         else -> true
     }
