Correct refusals after a replaced primary and a reused identifier

A reused identifier that a peer reported after a lost answer was answered as an unknown outcome although it is certain. A read that accepts older data and finds no server in time is now refused as too old instead of for want of a primary. The home of a database no longer looks the other homes up for each request.

--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/Forwarding.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/Forwarding.kt
@@ -16,6 +16,9 @@
 /** The transit allowance is at most this fraction of the remaining time, so that short deadlines keep most of it. */
 private const val TRANSIT_DIVISOR = 10
 
+/** Refusals that hold for all attempts under the identifier; a cancellation is reported only once it is durable. */
+private val SETTLING_KINDS = setOf(ErrorKind.REQUEST_CANCELLED, ErrorKind.REQUEST_IDENTIFIER_REUSED)
+
 private const val PEER = "peer"
 
 /** Lets [peer] carry [request] out. */
@@ -58,10 +61,7 @@
             if (work is Work.InTransaction) ownerLost(elsewhere, work) else route(keep(elsewhere))
         }
 
-        // The receiver relies on a cancellation only once it is durable.
-        answer.kind == ErrorKind.REQUEST_CANCELLED -> reply(free, answer)
-
-        free.mayHaveRun -> refuse(free, answer.kind, answer.message)
+        free.mayHaveRun && answer.kind !in SETTLING_KINDS -> refuse(free, answer.kind, answer.message)
 
         else -> reply(free, answer)
     }
--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/Routing.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/Routing.kt
@@ -18,10 +18,10 @@
 }
 
 private fun Turn.routeByHome(request: PendingRequest, group: DatabaseGroup) {
-    val home = nearestOtherHome(request, group)
+    val home = if (fleet.isHome(group)) null else nearestOtherHome(request, group)
     val work = request.work
     when {
-        home != null && !fleet.isHome(group) -> forward(request, home)
+        home != null -> forward(request, home)
         work is Work.Read -> routeRead(request, work, group)
         else -> routeToPrimary(request, group)
     }
--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/Transactions.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/Transactions.kt
@@ -42,7 +42,7 @@
 
         group(request.database).term > transaction.term -> {
             endTransaction(work.transaction, ConnectionCondition.DOUBTFUL)
-            ownerLost(request, work)
+            refuse(request, ErrorKind.TRANSACTION_ENDED, "the primary was replaced; nothing was committed")
         }
 
         else -> use(request, transaction)
--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/Waiting.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/Waiting.kt
@@ -21,7 +21,8 @@
 internal fun Turn.awaitPrimary(request: PendingRequest, rejected: PrimaryView?, retriesSame: Boolean = true) {
     val until = request.primaryWaitEnd ?: primaryWaitEnd(request)
     if (now >= until) {
-        refuse(request, ErrorKind.NO_PRIMARY, "the database has no primary that accepts the request")
+        val kind = if (acceptsOlderData(request)) ErrorKind.READ_TOO_OLD else ErrorKind.NO_PRIMARY
+        refuse(request, kind, "the database has no primary that accepts the request")
     } else {
         enter(
             request.copy(primaryWaitEnd = until),
@@ -31,6 +32,9 @@
     }
 }
 
+private fun acceptsOlderData(request: PendingRequest): Boolean =
+    (request.work as? Work.Read)?.let { it.maximumAge.value > 0 } == true
+
 // A request whose outcome is open is worth its whole deadline, because the caller cannot safely do anything else.
 private fun Turn.primaryWaitEnd(request: PendingRequest) =
     if (request.work is Work.Resolve) request.deadline else minOf(request.deadline, now + PRIMARY_WAIT)
--- a/core/src/test/kotlin/dev/hibiscusreach/core/request/WriteTest.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/request/WriteTest.kt
@@ -1,13 +1,21 @@
 package dev.hibiscusreach.core.request
 
+import dev.hibiscusreach.core.event.ArrivalNumber
+import dev.hibiscusreach.core.event.AttemptNumber
 import dev.hibiscusreach.core.event.ConnectionNumber
 import dev.hibiscusreach.core.event.CounterName
+import dev.hibiscusreach.core.event.Event
+import dev.hibiscusreach.core.event.PartName
 import dev.hibiscusreach.core.event.SessionAnswer
 import dev.hibiscusreach.core.event.SessionCommand
+import dev.hibiscusreach.core.event.Signal
 import dev.hibiscusreach.core.model.CallerAnswer
+import dev.hibiscusreach.core.model.CallerName
+import dev.hibiscusreach.core.model.DatabaseName
 import dev.hibiscusreach.core.model.ErrorKind
 import dev.hibiscusreach.core.model.RequestBody
 import dev.hibiscusreach.core.model.RequestIdentifier
+import dev.hibiscusreach.core.model.SessionToken
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
@@ -175,6 +183,27 @@
         expectThat(harness.commands).isEmpty()
     }
 
+    // Guards against work for requests that name nothing in the inventory or do nothing.
+    @Test
+    fun `a request of an unknown caller, without statements or with a foreign token is refused`() {
+        harness.arrive(write(), number = 1, caller = CallerName("stranger"))
+        harness.arrive(write().copy(statements = emptyList()), number = 2)
+        val foreign = SessionToken(mapOf(DatabaseName("other") to at(1)))
+        harness.handle(Event.RequestArrived(ArrivalNumber(3), harness.request(write()).copy(session = foreign)))
+
+        expectThat(harness.refusals)
+            .containsExactly(ErrorKind.UNKNOWN_CALLER, ErrorKind.MALFORMED_REQUEST, ErrorKind.FOREIGN_TOKEN)
+        expectThat(harness.commands).isEmpty()
+    }
+
+    // Guards against a connection that nobody returns because it was granted too late.
+    @Test
+    fun `a connection that is granted after its request ended is returned`() {
+        harness.handle(Signal.ConnectionGranted(AttemptNumber(PartName.REQUESTS, value = 9), ConnectionNumber(9)))
+
+        expectThat(harness.signalled<Signal.ConnectionReturned>()).hasSize(1)
+    }
+
     // Guards against a "not run" for a repeatable write whose first attempt may have run.
     @Test
     fun `a repeatable write that fails after a lost answer is reported as unknown`() {
