--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/Routing.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/Routing.kt
@@ -18,10 +18,10 @@
 }
 
 private fun Turn.routeByHome(request: PendingRequest, group: DatabaseGroup) {
-    val home = nearestOtherHome(request, group)
+    val home = if (fleet.isHome(group)) null else nearestOtherHome(request, group)
     val work = request.work
     when {
-        home != null && !fleet.isHome(group) -> forward(request, home)
+        home != null -> forward(request, home)
         work is Work.Read -> routeRead(request, work, group)
         else -> routeToPrimary(request, group)
     }
@@ -39,7 +39,7 @@
     val choice = chooseForRead(request, read, group)
     when {
         choice is ReadChoice.Chosen -> routeToServer(request, choice.candidate.server, group)
-        request.replicaWaitOver || read.maximumAge.value == 0L -> routeToPrimary(request, group)
+        choice is ReadChoice.PrimaryOnly || request.replicaWaitOver -> routeToPrimary(request, group)
         request.phase !is RequestPhase.AwaitingReplica -> awaitReplica(request)
     }
 }
