Let a replica ask a new primary at once

A replica that waited for an answer of an unreachable primary asked the new one only after the time-out of a second, which delayed the acknowledgement of writes after a promotion. A request of an older term no longer blocks the next one; a test isolates the old primary and confirms within 900 ms.

--- a/standins/src/main/kotlin/dev/hibiscusreach/standins/network/ReplicationPuller.kt
+++ b/standins/src/main/kotlin/dev/hibiscusreach/standins/network/ReplicationPuller.kt
@@ -21,19 +21,29 @@
     /** Age at which entries are applied. */
     var delayMillis: Long = timing.replicationDelayMillis
 
+    private var inFlight: ReplicationRequest? = null
+
     /** Starts asking; to be called once, on the server's loop. */
-    fun start() = pull()
+    fun start() {
+        pull()
+        server.after(maxOf(1, timing.replicationIntervalMillis), ::start)
+    }
 
+    // A request of an older term is not waited for, because its primary may be unreachable.
     private fun pull() {
-        val request = server.model.replicationRequest()?.takeUnless { faults.isolated }
-        val peer = request?.let { peers[it.primary] }
-        if (request == null || peer == null) return again(timing.replicationIntervalMillis)
+        val request = server.model.replicationRequest()?.takeUnless { faults.isolated || it.term == inFlight?.term }
+        val peer = request?.let { peers[it.primary] } ?: return
+        inFlight = request
         client.sendAsync(httpRequest(peer, request), HttpResponse.BodyHandlers.ofString()).whenComplete { response, _ ->
-            server.execute { again(if (accept(response)) 0 else timing.replicationIntervalMillis) }
+            server.execute { complete(request, response) }
         }
     }
 
-    private fun again(delayMillis: Long) = server.after(maxOf(1, delayMillis), ::pull)
+    private fun complete(request: ReplicationRequest, response: HttpResponse<String>?) {
+        if (inFlight !== request) return
+        inFlight = null
+        if (accept(response)) pull()
+    }
 
     /** Applies the entries that are old enough; returns whether more of them may be waiting. */
     private fun accept(response: HttpResponse<String>?): Boolean {
--- a/standins/src/test/kotlin/dev/hibiscusreach/standins/network/DatabaseServerTest.kt
+++ b/standins/src/test/kotlin/dev/hibiscusreach/standins/network/DatabaseServerTest.kt
@@ -24,7 +24,7 @@
 
 class DatabaseServerTest {
     private val servers =
-        listOf("a", "b").map {
+        listOf("a", "b", "c").map {
             DatabaseServer(DatabaseServerSettings(ServerName(it), connectionLimit = 1), timing = ServerTiming(1))
         }
     private val clients = mutableListOf<TestClient>()
@@ -35,7 +35,7 @@
         servers.forEach { it.join(endpoints - it.settings.name) }
         servers.forEach { control(it, ControlCommand.Fence(Term(1), proposer)) }
         control(servers[0], ControlCommand.Promote(Term(1), proposer))
-        control(servers[1], ControlCommand.Follow(Term(1), ServerName("a")))
+        servers.drop(1).forEach { control(it, ControlCommand.Follow(Term(1), ServerName("a"))) }
     }
 
     @AfterEach
@@ -113,4 +113,15 @@
         admin.call("POST /faults", """{"isolated": false}""")
         expectThat(control(servers[0], ControlCommand.Probe)).isA<ControlAnswer.Confirmed>()
     }
+
+    @Test
+    fun `a replica follows a new primary while the old one is unreachable, so that failover is not delayed`() {
+        connect(servers[0].ports.admin).call("POST /faults", """{"isolated": true}""")
+        servers.drop(1).forEach { control(it, ControlCommand.Fence(Term(2), proposer)) }
+        val position = control(servers[1], ControlCommand.Promote(Term(2), proposer)).status.applied
+        control(servers[2], ControlCommand.Follow(Term(2), ServerName("b")))
+
+        expectThat(control(servers[2], ControlCommand.Confirm(Term(2), position, waitMillis = 900)))
+            .isA<ControlAnswer.Confirmed>()
+    }
 }
