Hand connection shares over by asking instead of telling

A rolling restart refused 13 requests as overloaded and 2 as past their deadline: the earlier home told its successor what it had closed before the successor knew that it was the home, so the news was lost and the successor waited for the whole takeover delay. Ruled out: the queue wait (the successor's allowance was 0 for 3 s) and the drain itself (no connection was cut). Now the new home asks all live processes of its domain what they hold, and opens the rest of the share; answers are totals, so repeating them is safe. Attempts that wait at a home without connections go to the new one.

Histories now also check that no write that was refused as not run has an idempotency record. The store is placed outside the failure domains, as isolating its domain stopped all promotions.

--- a/core/src/main/kotlin/dev/hibiscusreach/core/event/PeerMessage.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/event/PeerMessage.kt
@@ -127,10 +127,15 @@
     @SerialName("forwardedAnswer")
     data class ForwardedAnswer(val arrival: ArrivalNumber, val answer: CallerAnswer) : PeerMessage
 
-    /** The sender closed [count] connections to [server], which the receiver may open; [last] ends the hand-over. */
+    /** Asks which connections of [database]'s share the receiver still holds, because the sender is the new home. */
     @Serializable
-    @SerialName("sharesReleased")
-    data class SharesReleased(val server: ServerName, val count: Int, val last: Boolean) : PeerMessage
+    @SerialName("sharesRequested")
+    data class SharesRequested(val database: DatabaseName) : PeerMessage
+
+    /** The connections that the sender still holds as an earlier home of [database]. It opens no more. */
+    @Serializable
+    @SerialName("sharesRemaining")
+    data class SharesRemaining(val database: DatabaseName, val connections: Map<ServerName, Int>) : PeerMessage
 
     /**
      * Asks for a lease of [count] connection permits of [caller], in place of the sender's earlier lease. A sender that
--- a/core/src/main/kotlin/dev/hibiscusreach/core/pool/PoolsPart.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/pool/PoolsPart.kt
@@ -54,7 +54,8 @@
 
     private fun receive(state: ProxyState, from: NodeIdentity, message: PeerMessage, now: MonotonicTime): Step =
         when (message) {
-            is PeerMessage.SharesReleased -> ShareRoles.released(state, from, message, now)
+            is PeerMessage.SharesRequested -> ShareRelease.requested(state, from, message.database)
+            is PeerMessage.SharesRemaining -> ShareAcquisition.remaining(state, from, message, now)
             is PeerMessage.PermitsRequested -> PermitLending.requested(state, from, message, now)
             is PeerMessage.PermitsGranted ->
                 PermitBorrowing
@@ -75,7 +76,7 @@
     private fun maintain(state: ProxyState, now: MonotonicTime): Step =
         Step(state)
             .withEffects(Effect.StartTimer(TimerKey.PoolPeriod, state.settings.pool.period))
-            .then { ShareRoles.expire(it, now) }
+            .then { ShareAcquisition.advance(it, now) }
             .then { ConnectionChecks.maintain(it, now) }
             .then { ConnectionQueue.maintain(it, now) }
             .then { PermitBorrowing.maintain(it, now) }
@@ -83,9 +84,9 @@
 
     private fun noteLoss(state: ProxyState, node: NodeIdentity, now: MonotonicTime): Step {
         val isOwnDomain = state.membership.domainOf(node) == state.settings.failureDomain
-        val permits = state.pools.permits
+        val permits = state.pools.permits.copy(lossAt = now)
         return if (isOwnDomain) {
-            Step(state.copy(pools = state.pools.copy(permits = permits.copy(lossAt = now))))
+            Step(state.copy(pools = state.pools.copy(permits = permits, homeLossAt = now)))
         } else {
             Step(state)
         }
--- a/core/src/main/kotlin/dev/hibiscusreach/core/pool/PoolsState.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/pool/PoolsState.kt
@@ -2,6 +2,7 @@
 
 import dev.hibiscusreach.core.event.ConnectionNumber
 import dev.hibiscusreach.core.model.DatabaseName
+import dev.hibiscusreach.core.model.MonotonicTime
 import dev.hibiscusreach.core.model.ServerName
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
@@ -14,6 +15,8 @@
     val permits: PermitsState = PermitsState(),
     /** Connections that this process may hold for each server, from its role and the inventory. */
     val allowances: PersistentMap<ServerName, Int> = persistentMapOf(),
+    /** When a process of this failure domain, which may have been a home, was last lost. */
+    val homeLossAt: MonotonicTime? = null,
     val nextConnection: Long = 1,
     val nextAttempt: Long = 1,
 ) {
--- a/core/src/main/kotlin/dev/hibiscusreach/core/pool/ShareAllowances.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/pool/ShareAllowances.kt
@@ -9,16 +9,18 @@
 
 /** Sets roles and the allowances that follow from them. */
 internal object ShareAllowances {
+    /** Ends the role of this process for [database]. */
     fun forget(state: ProxyState, database: DatabaseName): Step =
         Step(state.copy(pools = state.pools.copy(roles = state.pools.roles.remove(database))))
 
+    /** Sets the role of this process for [database]. */
     fun withRole(state: ProxyState, database: DatabaseName, role: ShareRole): Step {
         val group = state.configuration.index.group(database)
         val domain = state.settings.failureDomain
         val allowances =
             group?.servers.orEmpty().associate { server ->
                 val share = DatabaseHomes.share(group!!, server, domain)
-                server.name to allowance(role, server.name, share)
+                server.name to allowance(state, role, server.name, share)
             }
         val pools =
             state.pools.copy(
@@ -28,10 +30,13 @@
         return Step(state.copy(pools = pools))
     }
 
-    private fun allowance(role: ShareRole, server: ServerName, share: Int): Int =
+    private fun allowance(state: ProxyState, role: ShareRole, server: ServerName, share: Int): Int =
         when (role) {
             is ShareRole.Held -> share
-            is ShareRole.Acquiring -> minOf(share, role.released[server] ?: 0)
+            is ShareRole.Acquiring -> if (role.isCleared) share - heldByOthers(state, role, server) else 0
             is ShareRole.Releasing -> 0
         }
+
+    private fun heldByOthers(state: ProxyState, role: ShareRole.Acquiring, server: ServerName): Int =
+        role.remaining.filterKeys(state.membership::isLive).values.sumOf { it[server] ?: 0 }
 }
--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/Connecting.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/Connecting.kt
@@ -53,6 +53,8 @@
     val free = keep(request.copy(phase = RequestPhase.Arrived, avoidedServers = request.avoidedServers + phase.server))
     val atPrimary = phase.server == group(request.database).primary
     when {
+        kind == ErrorKind.DRAINING -> route(keep(request.copy(phase = RequestPhase.Arrived)))
+
         request.work !is Work.Read && !atPrimary -> route(free)
 
         request.work is Work.Read && !atPrimary && kind != ErrorKind.CALLER_LIMIT_REACHED ->
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/fleet/Deployment.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/fleet/Deployment.kt
@@ -19,7 +19,7 @@
 class Deployment(
     val domains: List<FailureDomain>,
     val databases: List<String>,
-    val storeDomain: FailureDomainName,
+    private val storeRegion: RegionName,
     val slots: Int,
     val domainLatencyMicros: Long,
 ) {
@@ -42,6 +42,9 @@
             ),
         )
 
+    /** Where the platform's store stands, apart from the failure domains. */
+    val storeDomain: FailureDomainName = FailureDomainName("store")
+
     /** The latency between hosts of two failure domains. */
     fun latencyMicros(from: FailureDomainName, to: FailureDomainName): Long =
         when {
@@ -50,7 +53,8 @@
             else -> REGION_LATENCY_MICROS
         }
 
-    private fun region(domain: FailureDomainName): RegionName = domains.first { it.name == domain }.region
+    private fun region(domain: FailureDomainName): RegionName =
+        domains.find { it.name == domain }?.region ?: storeRegion
 
     private fun group(databaseIndex: Int, name: String): DatabaseGroup =
         DatabaseGroup(
@@ -85,7 +89,7 @@
                 domains =
                 listOf(domain("galway", "west"), domain("mayo", "west"), domain("dublin", "east")),
                 databases = databases,
-                storeDomain = FailureDomainName("galway"),
+                storeRegion = RegionName("west"),
                 slots = 5,
                 domainLatencyMicros = 500,
             )
@@ -96,7 +100,7 @@
                 domains =
                 listOf(domain("selfoss", "south"), domain("hvolsvollur", "south"), domain("akureyri", "north")),
                 databases = databases,
-                storeDomain = FailureDomainName("selfoss"),
+                storeRegion = RegionName("south"),
                 slots = 2,
                 domainLatencyMicros = 1_500,
             )
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/fleet/FakeNetwork.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/fleet/FakeNetwork.kt
@@ -13,7 +13,7 @@
 
     /** Cuts [domain] off from all others, in both directions. */
     fun isolate(domain: FailureDomainName) =
-        deployment.domains.map { it.name }.filter { it != domain }.forEach {
+        (deployment.domains.map { it.name } + deployment.storeDomain).filter { it != domain }.forEach {
             cut(domain, it)
             cut(it, domain)
         }
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/fleet/History.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/fleet/History.kt
@@ -1,6 +1,7 @@
 package dev.hibiscusreach.systemtests.fleet
 
 import dev.hibiscusreach.core.model.CallerName
+import dev.hibiscusreach.core.model.RequestIdentifier
 
 /** What one operation did, as its client saw it. Times are in microseconds. */
 data class Operation(
@@ -23,6 +24,7 @@
 class History {
     private val ran = mutableListOf<Operation>()
     private val refused = mutableMapOf<String, Int>()
+    private val notRun = mutableListOf<RequestIdentifier>()
 
     /** Operations that ran, in order of completion. */
     val operations: List<Operation> get() = ran
@@ -30,6 +32,14 @@
     /** Refusals by error kind. */
     val refusals: Map<String, Int> get() = refused
 
+    /** Writes that were refused as not run and not sent again. */
+    val refusedWrites: List<RequestIdentifier> get() = notRun
+
+    /** Adds a write that was refused as not run. */
+    fun refuseWrite(identifier: RequestIdentifier) {
+        notRun += identifier
+    }
+
     /** Adds an operation that ran. */
     fun add(operation: Operation) {
         ran += operation
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/fleet/Scenario.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/fleet/Scenario.kt
@@ -1,5 +1,8 @@
 package dev.hibiscusreach.systemtests.fleet
 
+import dev.hibiscusreach.core.event.SessionAnswer
+import dev.hibiscusreach.core.event.SessionCommand
+
 /** A workload on a fleet, under faults, with a calm end in which every operation gets its answer. */
 class Scenario(
     deployment: Deployment,
@@ -44,11 +47,34 @@
     /** Everything that went wrong, with the faults that were injected. */
     fun violations(): List<String> {
         val unfinished = clients.count { it.isBusy }.takeIf { it > 0 }?.let { "$it clients never got an answer" }
-        val found = HistoryCheck(history, mix).violations() + limits.violations + listOfNotNull(unfinished)
+        val found =
+            HistoryCheck(history, mix).violations() +
+                limits.violations +
+                falseRefusals() +
+                listOfNotNull(unfinished)
         return if (found.isEmpty()) found else found + "seed $seed, faults: ${faults.log}"
     }
 
+    // The idempotency record of a write says whether it ran, whatever its caller was told.
+    private fun falseRefusals(): List<String> {
+        val primary = faults.primary() ?: return listOf("there is no primary at the end")
+        val term = primary.model.status(fleet.schedule.nowMillis).term
+        val session = CHECKING_SESSION
+        primary.model.openSession(session)
+        return history.refusedWrites
+            .filter { identifier ->
+                val answer = primary.model.execute(
+                    session,
+                    SessionCommand.Resolve(term, identifier),
+                    fleet.schedule.nowMillis
+                )
+                answer is SessionAnswer.Done
+            }.map { "$it was refused as not run, but ran" }
+    }
+
     private companion object {
+        const val CHECKING_SESSION = -1L
+
         const val START_MILLIS = 6_000L
         const val SETTLE_MILLIS = 30_000L
     }
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/fleet/TestClient.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/fleet/TestClient.kt
@@ -103,10 +103,11 @@
         schedule.afterMillis(DEADLINE_MILLIS + NETWORK_ALLOWANCE_MILLIS) { finish(null) }
     }
 
+    // The load balancer sends requests only to proxies that report to be ready.
     private fun chooseProxy(): FakeProxy? =
         fleet
             .running()
-            .filter { it.state.drainPhase == DrainPhase.SERVING }
+            .filter { it.state.drainPhase == DrainPhase.SERVING && it.state.configuration.isLoaded }
             .randomOrNull(random)
 
     private fun handle(work: Work, request: CallerRequest, answer: CallerAnswer?, isResent: Boolean) {
@@ -139,10 +140,17 @@
         history.refuse(answer.kind.label)
         val isWrite = work.kind == OperationKind.ADD || work.kind == OperationKind.PUT
         when {
-            !isWrite || answer.kind == ErrorKind.REQUEST_CANCELLED -> pause()
+            !isWrite -> pause()
+            answer.kind == ErrorKind.REQUEST_CANCELLED -> {
+                history.refuseWrite(request.identifier)
+                pause()
+            }
             // After an unknown outcome only an answer to the same identifier settles it.
             isResent || answer.kind.outcome != Outcome.NOT_RUN -> resend(work, request)
-            else -> pause()
+            else -> {
+                history.refuseWrite(request.identifier)
+                pause()
+            }
         }
     }
 
