--- a/core/src/test/kotlin/dev/hibiscusreach/core/configuration/RandomFailureTest.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/configuration/RandomFailureTest.kt
@@ -32,6 +32,7 @@
         fleet.isCut = { _, _ -> false }
         fleet.platform.isDown = false
         fleet.platform.losesAnswers = false
+        edit(fleet)
         fleet.run(seconds = 40)
 
         expectThat(nodes.values).all {
