Handle a pause before the event that ends it

PauseDetected followed the event with which it was detected, so that this event could still use a connection that was idle during the pause. The reducer now asks for a pause before each event. An inventory without databases and another change with the identifier of the latest one are refused as well.

--- a/core/src/main/kotlin/dev/hibiscusreach/core/configuration/ConfigurationEdit.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/configuration/ConfigurationEdit.kt
@@ -57,9 +57,12 @@
     fun prepare(stored: StoredConfiguration, change: RequestedChange): EditResult {
         val changes = stored.root?.recentChanges.orEmpty()
         val configuration = stored.configuration.applying(change)
+        val isLatest = change.identifier == changes.lastOrNull()
+        val isReused = isLatest && !configuration.hasContentOf(stored.configuration)
         val faults = identifierFaults(change) + InventoryCheck.check(configuration.inventory, configuration.rules)
         val difference = ConfigurationDifference.between(stored.configuration, configuration)
         return when {
+            isReused -> EditResult.Invalid(listOf(InventoryFault("change identifier", "another change has it already")))
             change.identifier in changes -> EditResult.AlreadyApplied(stored.configuration.generation)
             faults.isNotEmpty() -> EditResult.Invalid(faults)
             configuration.hasContentOf(stored.configuration) && stored.root != null ->
--- a/core/src/main/kotlin/dev/hibiscusreach/core/configuration/InventoryCheck.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/configuration/InventoryCheck.kt
@@ -9,7 +9,8 @@
 object InventoryCheck {
     /** The faults of [inventory] and [rules]; empty if they can be accepted. */
     fun check(inventory: Inventory, rules: Rules): List<InventoryFault> =
-        failureDomainFaults(inventory) +
+        faultIf(inventory.databaseGroups.isEmpty(), "inventory", "it has no databases") +
+            failureDomainFaults(inventory) +
             databaseFaults(inventory) +
             serverFaults(inventory) +
             callerFaults(inventory) +
--- a/core/src/main/kotlin/dev/hibiscusreach/core/membership/MembershipPart.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/membership/MembershipPart.kt
@@ -15,7 +15,7 @@
 /** Knows which proxies are alive, draining or gone. */
 internal class MembershipPart : Part {
     override fun handle(state: ProxyState, event: Event, context: StepContext): Step =
-        PauseDetection.check(state, context).then { MembershipStep(context).handle(it, event) }
+        MembershipStep(context).handle(state, event)
 }
 
 /** Handles one event of the membership protocol. */
@@ -33,6 +33,7 @@
             is Event.PeerUnreachable -> detector.unreachable(state, event.peer)
             is Event.PeerIntroduced -> exchange.introduced(state, event.update)
             is Event.PlatformAnswered -> platformAnswered(state, event)
+            is Signal.PauseDetected -> PauseDetection.resume(state, context)
             is Signal.DrainAdvanced -> Announcement(context).drainAdvanced(state, event.phase)
             else -> Step(state)
         }
--- a/core/src/main/kotlin/dev/hibiscusreach/core/membership/PauseDetection.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/membership/PauseDetection.kt
@@ -8,23 +8,20 @@
 import dev.hibiscusreach.core.reducer.Step
 import dev.hibiscusreach.core.reducer.StepContext
 
-/**
- * Detects that this process did not run although its period timer was due. The check is made at every event, because
- * after a pause other events can be handled before the overdue timer.
- */
+/** Detects that this process did not run although its period timer was due. */
 internal object PauseDetection {
-    fun check(state: ProxyState, context: StepContext): Step {
-        val due = state.membership.protocol.periodDue
-        val late = due?.let { context.now - it }
-        return if (late != null && late > state.settings.membership.pauseThreshold) {
-            resume(state, context).withSignals(Signal.PauseDetected(late.value))
-        } else {
-            Step(state)
-        }
-    }
+    /**
+     * The signal of a pause that ended with the current event, or null. Asked before every event, because after a pause
+     * other events can be handled before the overdue timer.
+     */
+    fun detect(state: ProxyState, context: StepContext): Signal.PauseDetected? =
+        state.membership.protocol.periodDue
+            ?.let { context.now - it }
+            ?.takeIf { it > state.settings.membership.pauseThreshold }
+            ?.let { Signal.PauseDetected(it.value) }
 
-    // What peers sent during the pause may be unread still, so nothing may be concluded from their silence.
-    private fun resume(state: ProxyState, context: StepContext): Step {
+    /** Draws no conclusions from the silence of peers, because what they sent may be unread still. */
+    fun resume(state: ProxyState, context: StepContext): Step {
         val suspected = state.membership.peers.values.filter { it.condition == PeerCondition.SUSPECTED }
         val delay = state.settings.membership.suspicionTimeout
         return Step(
--- a/core/src/main/kotlin/dev/hibiscusreach/core/reducer/ProxyReducer.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/reducer/ProxyReducer.kt
@@ -6,6 +6,7 @@
 import dev.hibiscusreach.core.event.TimedEvent
 import dev.hibiscusreach.core.group.GroupsPart
 import dev.hibiscusreach.core.membership.MembershipPart
+import dev.hibiscusreach.core.membership.PauseDetection
 import dev.hibiscusreach.core.pool.PoolsPart
 import dev.hibiscusreach.core.request.RequestsPart
 
@@ -23,6 +24,8 @@
                 random = timedEvent.random,
             )
         val pending = ArrayDeque<Event>()
+        // A pause is handled before the event, so that nothing is done with connections that were idle for too long.
+        PauseDetection.detect(state, context)?.let(pending::addLast)
         pending.addLast(timedEvent.event)
         val effects = mutableListOf<Effect>()
         var current = state
--- a/core/src/test/kotlin/dev/hibiscusreach/core/configuration/ConfigurationEditTest.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/configuration/ConfigurationEditTest.kt
@@ -29,6 +29,14 @@
         expectThat(carryOut(loading)).isEqualTo(EditResult.AlreadyApplied(generation = 1))
     }
 
+    // Guards against a change that is taken for an earlier one and never applied.
+    @Test
+    fun `another change with the identifier of the latest one is refused`() {
+        carryOut(loading)
+
+        expectThat(carryOut(loading.copy(rules = limit(8)))).isA<EditResult.Invalid>()
+    }
+
     // Guards against two operators who overwrite each other's edit.
     @Test
     fun `an edit that loses against a concurrent one is not stored and shows what the other one changed`() {
--- a/core/src/test/kotlin/dev/hibiscusreach/core/membership/MembershipPartTest.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/membership/MembershipPartTest.kt
@@ -14,6 +14,7 @@
 import strikt.assertions.contains
 import strikt.assertions.containsExactlyInAnyOrder
 import strikt.assertions.hasSize
+import strikt.assertions.isA
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
@@ -113,8 +114,8 @@
 
         fleet.run(seconds = 5)
 
-        expectThat(paused.signals.filterIsInstance<Signal.PauseDetected>().single().pausedMillis)
-            .isIn(9_500L..10_000L)
+        expectThat(paused.signals.first()).isA<Signal.PauseDetected>().get { pausedMillis }.isIn(9_500L..10_000L)
+        expectThat(paused.signals.filterIsInstance<Signal.PauseDetected>()).hasSize(1)
         expectThat(paused.signals.filterIsInstance<Signal.PeerGone>()).isEmpty()
         expectThat(nodes - paused).all {
             get { isLive(paused) }.isTrue()
