Keep head samples over hours in a bounded list

Every second sample of the older half was dropped at each overflow, so that a busy database kept samples of a few seconds only and the age of a replica further behind was unknown or far too high. The gap between two samples may now grow to an eighth of their age. A test with 10,000 samples shows the bound and the precision.

--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/HeadSamples.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/HeadSamples.kt
@@ -51,16 +51,25 @@
             list.add(sample)
         }
 
-    // Older samples become sparser, so that a bounded list reaches far back; ages only get more cautious by it.
     private fun thinned(list: PersistentList<HeadSample>): PersistentList<HeadSample> =
-        if (list.size <= MAXIMUM_SIZE) {
-            list
-        } else {
-            list.filterIndexed { index, _ -> index >= list.size / 2 || index % 2 == 0 }.toPersistentList()
+        if (list.size <= MAXIMUM_SIZE) list else sparser(list).takeLast(REDUCED_SIZE).toPersistentList()
+
+    // The gap between two samples may grow with their age, so that a bounded list reaches hours back. A gap makes ages
+    // look higher by at most one part in PRECISION, never lower.
+    private fun sparser(list: List<HeadSample>): List<HeadSample> {
+        val newest = list.last().sentAt
+        val kept = mutableListOf(list.first())
+        for ((sample, next) in list.drop(1).zipWithNext()) {
+            val gap = next.sentAt - kept.last().sentAt
+            if (gap * PRECISION > newest - next.sentAt) kept += sample
         }
+        return kept + list.last()
+    }
 
     private companion object {
-        const val MAXIMUM_SIZE = 128
+        const val MAXIMUM_SIZE = 256
+        const val REDUCED_SIZE = 224
+        const val PRECISION = 8
         val SPACING = 20.milliseconds
     }
 }
--- /dev/null
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/group/GroupStateTest.kt
@@ -0,0 +1,120 @@
+package dev.hibiscusreach.core.group
+
+import dev.hibiscusreach.core.event.ServerRole
+import dev.hibiscusreach.core.event.ServerStatus
+import dev.hibiscusreach.core.model.BackendServer
+import dev.hibiscusreach.core.model.DatabaseGroup
+import dev.hibiscusreach.core.model.DatabaseName
+import dev.hibiscusreach.core.model.Endpoint
+import dev.hibiscusreach.core.model.FailureDomainName
+import dev.hibiscusreach.core.model.MonotonicTime
+import dev.hibiscusreach.core.model.Position
+import dev.hibiscusreach.core.model.ServerName
+import dev.hibiscusreach.core.model.Term
+import dev.hibiscusreach.core.reducer.GroupSettings
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isIn
+import strikt.assertions.isLessThan
+import strikt.assertions.isNull
+
+class GroupStateTest {
+    private val names = listOf("first", "second", "third").map(::ServerName)
+    private val endpoint = Endpoint("10.0.0.1", 1)
+    private val group =
+        DatabaseGroup(
+            DatabaseName("jobs"),
+            names.map { BackendServer(it, FailureDomainName("yard"), endpoint, endpoint, 30, 2) },
+        )
+    private val start = position(term = 1, index = 10)
+    private val state =
+        GroupState(
+            group,
+            GroupSettings(),
+            monitoredSince = MonotonicTime(0),
+            term = Term(2),
+            primary = names[0],
+            termStart = start,
+        ).seeing(0, term = 2, position(term = 2, index = 11), sentAt = 300)
+
+    // Guards against entries of a replaced primary that count as held because their server was fenced.
+    @Test
+    fun `entries past the start of the term count only up to that start`() {
+        val fenced =
+            state
+                .seeing(1, term = 2, position(term = 1, index = 20), sentAt = 200)
+                .seeing(2, term = 2, position(term = 1, index = 5), sentAt = 100)
+
+        expectThat(fenced.durable()).isEqualTo(start)
+    }
+
+    // Guards against entries that count although nothing tells whether the current primary has them.
+    @Test
+    fun `older entries count for nothing as long as the start of the term is unknown`() {
+        val unknown = state.copy(termStart = null).seeing(1, term = 2, position(term = 1, index = 20), sentAt = 200)
+
+        expectThat(unknown.durable()).isEqualTo(Position.ORIGIN)
+    }
+
+    // Guards against a replaced primary that keeps answering with its old term.
+    @Test
+    fun `a server in another term backs neither durability nor leadership`() {
+        val split =
+            state
+                .seeing(1, term = 1, position(term = 1, index = 20), sentAt = 200)
+                .seeing(2, term = 3, position(term = 2, index = 11), sentAt = 100)
+
+        expectThat(split.durable()).isEqualTo(Position.ORIGIN)
+        expectThat(split.leadershipVerifiedAt()).isNull()
+    }
+
+    // Guards against leadership taken from the latest answer instead of the one that completes a majority.
+    @Test
+    fun `leadership is verified as of the answer that completes a majority`() {
+        val answered = state.seeing(2, term = 2, start, sentAt = 100)
+
+        expectThat(answered.leadershipVerifiedAt()).isEqualTo(MonotonicTime(100))
+    }
+
+    // Guards against an outdated answer that arrives late and undoes what is known of a server.
+    @Test
+    fun `late answers change neither term nor position`() {
+        val late =
+            state
+                .seeing(1, term = 2, position(term = 2, index = 11), sentAt = 200)
+                .seeing(1, term = 1, position(term = 1, index = 20), sentAt = 150)
+                .seeing(1, term = 2, position(term = 2, index = 8), sentAt = 160)
+
+        expectThat(late.healthOf(names[1]).status?.applied).isEqualTo(position(term = 2, index = 11))
+    }
+
+    // Guards against a list of samples that grows with the writes of a long partition.
+    @Test
+    fun `samples stay bounded and reach far back`() {
+        val samples =
+            (1L..10_000).fold(HeadSamples()) { list, number ->
+                val sent = MonotonicTime(number * 50)
+                list.including(HeadSample(sent, position(term = 2, number), Term(2))).verifiedUntil(Term(2), sent)
+            }
+
+        expectThat(samples.verified.size).isLessThan(300)
+        // At most one eighth of the age too cautious.
+        expectThat(samples.sentAt(5_000)).isIn(215_000L..250_000L)
+        expectThat(samples.sentAt(9_999)).isIn(499_900L..499_950L)
+    }
+
+    private fun HeadSamples.sentAt(index: Long) = newestWithin(position(term = 2, index))?.sentAt?.millis ?: -1
+
+    private fun GroupState.seeing(server: Int, term: Long, applied: Position, sentAt: Long): GroupState {
+        val role = if (server == 0) ServerRole.PRIMARY else ServerRole.REPLICA
+        val status = ServerStatus(names[server], Term(term), role, applied)
+        return withHealth(names[server]) { it.observed(status, MonotonicTime(sentAt), MonotonicTime(sentAt + DELAY)) }
+    }
+
+    private fun position(term: Long, index: Long) = Position(Term(term), index)
+
+    private companion object {
+        const val DELAY = 500L
+    }
+}
