Let the loser of a claim go on when the winner dies

A proposer that lost the conditional update stayed in its verification step for good if the winner died without a promotion. It now pauses and watches again.

--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/Durability.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/Durability.kt
@@ -63,6 +63,7 @@
 private fun GroupState.cannotSettle(position: Position): Boolean =
     position.term < term && !isSettled(position) && (termStart == null || position > termStart)
 
+/** Lets the next Confirm go to the replica: at once, or from the next probe period on if this one failed. */
 internal fun GroupsTurn.confirmEnded(call: ControlCall, confirmed: Boolean) {
     val current = (call.command as ControlCommand.Confirm).term == group(call.database)?.term
     if (!current) return
--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/Failover.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/Failover.kt
@@ -10,8 +10,10 @@
 /** Pause before the next try after a failed one, also while the platform is down. */
 internal val FAILOVER_PAUSE = 500.milliseconds
 
+/** Sends [message] to a peer. */
 internal fun GroupsTurn.send(to: NodeIdentity, message: PeerMessage) = emit(Effect.SendPeerMessage(to, message))
 
+/** Moves the failover of [database] to another step. */
 internal fun GroupsTurn.moveTo(database: DatabaseName, next: FailoverState) =
     update(database) { it.copy(failover = next) }
 
--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/GroupsPart.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/GroupsPart.kt
@@ -74,7 +74,7 @@
         is Signal.LeavingServersListed -> listLeaving(signal.servers)
         is Signal.PauseDetected -> resume()
         is Signal.ServerObserved -> observeSession(signal)
-        is Signal.ServerFailed -> serverFailed(signal.server, signal.failure)
+        is Signal.ServerFailed -> serverFailed(signal.server, signal.failure, now)
         is Signal.DurabilityWanted -> wantDurability(signal)
         is Signal.LeadershipWanted -> wantLeadership(signal)
         else -> Unit
--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/ServerHealth.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/ServerHealth.kt
@@ -20,7 +20,7 @@
     val held: Position = Position.ORIGIN,
     /** When the reported position last changed. */
     val progressedAt: MonotonicTime = NEVER,
-    /** The first refused connection since the latest answer. */
+    /** When the first connection that was refused since the latest answer was attempted. */
     val refusedAt: MonotonicTime? = null,
     /** Whether connections were refused at two times far enough apart to exclude a single glitch. */
     val refusedRepeatedly: Boolean = false,
@@ -56,12 +56,12 @@
         }
     }
 
-    /** This health after a failed connection or call. */
-    fun failed(failure: ConnectionFailure, now: MonotonicTime, spacing: Millis): ServerHealth =
+    /** This health after a connection or call, made at [attemptedAt], failed. */
+    fun failed(failure: ConnectionFailure, attemptedAt: MonotonicTime, spacing: Millis): ServerHealth =
         when {
             failure != ConnectionFailure.REFUSED -> this
-            refusedAt == null -> copy(refusedAt = now)
-            now - refusedAt >= spacing -> copy(refusedRepeatedly = true)
+            refusedAt == null -> copy(refusedAt = attemptedAt)
+            attemptedAt - refusedAt >= spacing -> copy(refusedRepeatedly = true)
             else -> this
         }
 
--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/TermClaim.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/TermClaim.kt
@@ -38,11 +38,14 @@
 }
 
 private fun GroupsTurn.claimAbove(known: GroupState, record: GroupRecord, version: Long) {
-    val news = record.term > known.highestTerm
+    val current = record.term > known.term && record.term >= known.highestTerm
     when {
-        news && record.primary != null -> adopt(known.name, record.term, record.primary)
+        current && record.primary != null -> adopt(known.name, record.term, record.primary)
         // Another proposer is at work. Its term is left alone for the failover's time, unless the proposer is gone.
-        news && isAtWork(record) -> noteTerm(known.name, record.term)
+        record.term > known.highestTerm && isAtWork(record) -> {
+            noteTerm(known.name, record.term)
+            pause(known.name)
+        }
         else -> claim(known, maxOf(record.term, known.highestTerm).next(), version)
     }
 }
--- a/core/src/test/kotlin/dev/hibiscusreach/core/group/DurabilityTest.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/group/DurabilityTest.kt
@@ -64,6 +64,7 @@
     // Guards against data of a replaced primary that compares lower than the new term and is taken for durable.
     @Test
     fun `entries that only a replaced primary has are neither durable nor of a known age`() {
+        simulation.run(1_000)
         simulation.replicas.forEach { it.stalled = true }
         node.write(primary)
         val diverged = primary.applied
--- a/core/src/test/kotlin/dev/hibiscusreach/core/group/GroupSimulation.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/group/GroupSimulation.kt
@@ -49,8 +49,8 @@
     /** Pairs of domains whose homes lose all messages to each other, although servers are reached. */
     val mutedPeers = mutableSetOf<Set<FailureDomainName>>()
 
-    /** Extra one-way delay of everything that leaves or reaches a domain. */
-    val slowness = mutableMapOf<FailureDomainName, Long>()
+    /** Extra one-way delay between two domains. */
+    val slowness = mutableMapOf<Set<FailureDomainName>, Long>()
     var now = START
     private val queue = PriorityQueue<Scheduled>(compareBy({ it.at }, { it.order }))
     private var order = 0L
@@ -128,7 +128,7 @@
         setOf(first, second) !in cuts
 
     private fun latency(first: FailureDomainName, second: FailureDomainName): Long =
-        LATENCY + random.nextLong(JITTER) + (slowness[first] ?: 0) + (slowness[second] ?: 0)
+        LATENCY + random.nextLong(JITTER) + (slowness[setOf(first, second)] ?: 0)
 
     private class Scheduled(val at: Long, val order: Long, val action: () -> Unit)
 
--- a/core/src/test/kotlin/dev/hibiscusreach/core/group/ProposerTest.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/group/ProposerTest.kt
@@ -1,6 +1,7 @@
 package dev.hibiscusreach.core.group
 
 import dev.hibiscusreach.core.event.ServerRole
+import dev.hibiscusreach.core.model.MonotonicTime
 import dev.hibiscusreach.core.model.Term
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -21,9 +22,11 @@
     @Test
     fun `slowness seen from one domain only replaces nobody`() {
         val slow = nodes.first { it.domain != old.domain }
-        simulation.slowness[slow.domain] = 700
+        simulation.slowness[setOf(slow.domain, old.domain)] = 700
         simulation.run(10_000)
 
+        val views = slow.groups.servers(simulation.database, MonotonicTime(simulation.now))
+        expectThat(views.filter { it.reachable }).hasSize(2)
         expectThat(nodes.map { it.groups.term(simulation.database) }).all { isEqualTo(old.term) }
         expectThat(simulation.platform.record("group/jobs")?.term).isEqualTo(old.term)
     }
@@ -70,9 +73,23 @@
         expectThat(nodes.map { it.groups.primary(simulation.database) }.distinct()).hasSize(1)
     }
 
+    // Guards against a loser of a claim that waits for good for the winner, which died.
+    @Test
+    fun `the loser of a claim goes on when the winner dies`() {
+        simulation.mutedPeers += nodes.filter { it.domain != old.domain }.map { it.domain }.toSet()
+        old.up = false
+        simulation.runUntil { nodes.any { it.isFencing() } }
+        proposer().freeze()
+
+        expectThat(simulation.awaitPrimary(above = old.term)).isLessThan(6_000)
+    }
+
     // Guards against a promotion decided with what was known before this process was paused.
     @Test
     fun `a process that was paused probes before it suspects`() {
+        // The primary's answer comes later than those of the other servers and monitors.
+        nodes.forEach { simulation.slowness[setOf(it.domain, old.domain)] = 200 }
+        simulation.run(2_000)
         nodes.forEach { it.freeze() }
         simulation.run(30_000)
         nodes.forEach { it.resume() }
--- a/core/src/test/kotlin/dev/hibiscusreach/core/group/RandomFailuresTest.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/group/RandomFailuresTest.kt
@@ -42,7 +42,7 @@
                 4 -> simulation.nodes.random(random).freeze()
                 5 -> simulation.servers.random(random).stalled = true
                 6 -> simulation.platform.putAnswersToLose = 2
-                else -> simulation.slowness[domain] = random.nextLong(900)
+                else -> simulation.slowness[setOf(domain, simulation.domains.random(random))] = random.nextLong(900)
             }
         }
 
