Test deadlines while waiting for a connection and for a peer

The fake pool always replied at once, so that no test covered a request that waits for a connection. It can now stay silent. A resolution that conflicts with another transaction pauses before it is tried again; it was repeated at once until the deadline.

--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/SessionAnswers.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/SessionAnswers.kt
@@ -49,7 +49,9 @@
         is SessionAnswer.IdentifierReused -> refuseAsSettled(free, ErrorKind.REQUEST_IDENTIFIER_REUSED, REUSED)
 
         is SessionAnswer.Conflict ->
-            tryAgain(free, "conflict", ErrorKind.CONFLICT, "the transaction conflicted with another one")
+            tryAgain(free, "conflict", ErrorKind.CONFLICT, "the transaction conflicted with another one") {
+                if (it.work is Work.Resolve) awaitPrimary(it, primaryView(it.database)) else route(it)
+            }
 
         is SessionAnswer.WrongTerm -> notAccepted(free, phase, "term")
 
--- a/core/src/test/kotlin/dev/hibiscusreach/core/request/DrainTest.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/request/DrainTest.kt
@@ -5,7 +5,6 @@
 import dev.hibiscusreach.core.event.Effect
 import dev.hibiscusreach.core.event.Event
 import dev.hibiscusreach.core.event.PeerMessage
-import dev.hibiscusreach.core.event.SessionAnswer
 import dev.hibiscusreach.core.event.Signal
 import dev.hibiscusreach.core.model.CallerAnswer
 import dev.hibiscusreach.core.model.ErrorKind
@@ -39,7 +38,7 @@
     // Guards against a shutdown that never ends because new work keeps coming.
     @Test
     fun `a finishing proxy refuses new requests of callers and peers`() {
-        val transaction = begin()
+        val transaction = harness.begin()
         finish()
         harness.arrive(write(), number = 2)
         val forwarded = PeerMessage.ForwardedRequest(ArrivalNumber(5), hops = 1, harness.request(write(), number = 3))
@@ -54,7 +53,7 @@
     // Guards against a shutdown that interrupts a transaction which would have ended in time.
     @Test
     fun `an open transaction can commit while the proxy finishes`() {
-        val transaction = begin()
+        val transaction = harness.begin()
         finish()
         harness.arrive(RequestBody.CommitTransaction(transaction, Fixture.WALL_CLOCK), number = 2)
         harness.answer(done(at(11)))
@@ -68,7 +67,7 @@
     // Guards against an open transaction that keeps the proxy from exiting, and against a false outcome of it.
     @Test
     fun `a transaction that exceeds the drain limit is ended as not run and the proxy exits`() {
-        val transaction = begin()
+        val transaction = harness.begin()
         finish()
         repeat(5) { turn ->
             harness.pass(millis = 2_000)
@@ -80,12 +79,6 @@
         expectThat(harness.effects).contains(Effect.Exit)
     }
 
-    private fun begin(): String {
-        harness.arrive(RequestBody.BeginTransaction, number = 1)
-        harness.answer(SessionAnswer.Done(status(), position = at(10)))
-        return checkNotNull((harness.answers.last() as CallerAnswer.Completed).transaction)
-    }
-
     private fun finish() {
         harness.handle(Event.DrainRequested)
         harness.pass(millis = 1_000)
--- a/core/src/test/kotlin/dev/hibiscusreach/core/request/Fixture.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/request/Fixture.kt
@@ -39,26 +39,18 @@
     const val WALL_CLOCK = 1_800_000_000_000L
     val RESULTS = listOf(StatementResult(changedRows = 1))
 
+    private val DOMAINS =
+        listOf(
+            GALWAY to "west",
+            MAYO to "west",
+            DUBLIN to "east"
+        ).map { FailureDomain(it.first, RegionName(it.second)) }
+    private val SERVERS = listOf(server(PRIMARY, GALWAY), server(REPLICA, MAYO), server(FAR_REPLICA, DUBLIN))
+    private val CALLERS = listOf(Caller(TABLET), Caller(OFFICE))
     val CONFIGURATION =
         Configuration(
             generation = 1,
-            inventory =
-            Inventory(
-                failureDomains =
-                listOf(
-                    FailureDomain(GALWAY, RegionName("west")),
-                    FailureDomain(MAYO, RegionName("west")),
-                    FailureDomain(DUBLIN, RegionName("east")),
-                ),
-                databaseGroups =
-                listOf(
-                    DatabaseGroup(
-                        JOBS,
-                        listOf(server(PRIMARY, GALWAY), server(REPLICA, MAYO), server(FAR_REPLICA, DUBLIN)),
-                    ),
-                ),
-                callers = listOf(Caller(TABLET), Caller(OFFICE)),
-            ),
+            inventory = Inventory(DOMAINS, listOf(DatabaseGroup(JOBS, SERVERS)), CALLERS),
             rules = Rules(listOf(CallerRule(TABLET, maximumReadAgeMillis = 1_000))),
         )
 
@@ -70,13 +62,10 @@
 
 internal fun at(index: Long, term: Long = 1) = Position(Term(term), index)
 
-internal fun status(server: ServerName = Fixture.PRIMARY, term: Long = 1) =
-    ServerStatus(
-        server,
-        Term(term),
-        if (server == Fixture.PRIMARY) ServerRole.PRIMARY else ServerRole.REPLICA,
-        at(index = 10),
-    )
+internal fun status(server: ServerName = Fixture.PRIMARY, term: Long = 1): ServerStatus {
+    val role = if (server == Fixture.PRIMARY) ServerRole.PRIMARY else ServerRole.REPLICA
+    return ServerStatus(server, Term(term), role, applied = at(index = 10))
+}
 
 internal fun done(position: Position, server: ServerName = Fixture.PRIMARY, term: Long = position.term.number) =
     SessionAnswer.Done(status(server, term), Fixture.RESULTS, position)
--- a/core/src/test/kotlin/dev/hibiscusreach/core/request/ForwardingTest.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/request/ForwardingTest.kt
@@ -68,6 +68,17 @@
         expectThat(harness.refusals).containsExactly(ErrorKind.OUTCOME_UNKNOWN)
     }
 
+    // Guards against a deadline that claims "not run" for a write which the peer may have carried out.
+    @Test
+    fun `an expired deadline of a forwarded request is not run for a read and unknown for a write`() {
+        harness.arrive(read(), number = 1, deadline = 400)
+        harness.arrive(write(), number = 2, deadline = 400)
+        harness.pass(millis = 400)
+
+        expectThat(harness.refusals).containsExactly(ErrorKind.DEADLINE_EXCEEDED, ErrorKind.OUTCOME_UNKNOWN)
+        expectThat(harness.forwards.map { it.request.deadline.value }).containsExactly(360, 360)
+    }
+
     // Guards against a proxy that fails requests although it could serve them, because all homes are lost.
     @Test
     fun `a read uses the proxy's own connections when no home can be reached`() {
--- a/core/src/test/kotlin/dev/hibiscusreach/core/request/RequestHarness.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/request/RequestHarness.kt
@@ -40,6 +40,7 @@
     val effects = mutableListOf<Effect>()
     val signals = mutableListOf<Signal>()
     val denied = mutableMapOf<ServerName, ErrorKind>()
+    var poolsAnswer = true
     val servers = mutableMapOf<ConnectionNumber, ServerName>()
     private val timers = mutableMapOf<TimerKey, MonotonicTime>()
     private var now = MonotonicTime(1_000_000)
@@ -47,7 +48,8 @@
     private val fakePools =
         Part { state, event, _ ->
             if (event is Signal) signals += event
-            if (event is Signal.ConnectionWanted) Step(state, signals = listOf(reply(event))) else Step(state)
+            val isAnswered = event is Signal.ConnectionWanted && poolsAnswer
+            if (isAnswered) Step(state, signals = listOf(reply(event))) else Step(state)
         }
     private val reducer = ProxyReducer(listOf(fakePools, RequestsPart(views)))
     var state: ProxyState =
@@ -113,6 +115,13 @@
             body = body,
         )
 
+    /** Opens a transaction and returns its identifier. */
+    fun begin(number: Long = 1): String {
+        arrive(RequestBody.BeginTransaction, number)
+        answer(done(at(10)))
+        return checkNotNull((answers.last() as CallerAnswer.Completed).transaction)
+    }
+
     /** Answers the last command that was sent. */
     fun answer(answer: SessionAnswer) = commands.last().let { answer(it, answer) }
 
@@ -120,9 +129,7 @@
         handle(Event.SessionAnswered(sent.connection, sent.attempt, answer))
 
     fun breakConnection() =
-        handle(
-            Signal.ConnectionLost(commands.last().connection, ConnectionFailure.BROKEN),
-        )
+        handle(Signal.ConnectionLost(commands.last().connection, ConnectionFailure.BROKEN))
 
     fun reachDurability() = handle(Signal.DurabilityReached(signalled<Signal.DurabilityWanted>().last().attempt))
 
@@ -138,7 +145,7 @@
         handle(Signal.PrimaryChanged(Fixture.JOBS, views.term, server))
     }
 
-    private fun reply(wanted: Signal.ConnectionWanted): Signal =
+    fun reply(wanted: Signal.ConnectionWanted): Signal =
         denied[wanted.server]?.let { Signal.ConnectionDenied(wanted.attempt, it) }
             ?: Signal.ConnectionGranted(wanted.attempt, ConnectionNumber(++connections)).also {
                 servers[it.connection] = wanted.server
--- a/core/src/test/kotlin/dev/hibiscusreach/core/request/TransactionTest.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/request/TransactionTest.kt
@@ -4,7 +4,6 @@
 import dev.hibiscusreach.core.event.ConnectionCondition
 import dev.hibiscusreach.core.event.Event
 import dev.hibiscusreach.core.event.PeerMessage
-import dev.hibiscusreach.core.event.SessionAnswer
 import dev.hibiscusreach.core.event.SessionCommand
 import dev.hibiscusreach.core.event.Signal
 import dev.hibiscusreach.core.model.CallerAnswer
@@ -24,7 +23,7 @@
     // Guards against a transaction whose statements reach different connections.
     @Test
     fun `a transaction keeps its connection until its commit is durable`() {
-        val transaction = begin()
+        val transaction = harness.begin()
         run(transaction, number = 2)
         harness.answer(done(at(10)))
         commit(transaction, number = 3)
@@ -41,7 +40,7 @@
     // Guards against two requests of a transaction whose answers mix, and against the use by another caller.
     @Test
     fun `a transaction takes one request at a time and only from its caller`() {
-        val transaction = begin()
+        val transaction = harness.begin()
         run(transaction, number = 2)
         run(transaction, number = 3)
         commit(transaction, number = 4)
@@ -54,7 +53,7 @@
     // Guards against a transaction that goes on without the statements of its lost connection.
     @Test
     fun `a connection lost before the commit ends the transaction as not run`() {
-        val transaction = begin()
+        val transaction = harness.begin()
         run(transaction, number = 2)
         harness.breakConnection()
         run(transaction, number = 3)
@@ -67,7 +66,7 @@
     // Guards against a commit that ran and is reported as ended, or is run a second time.
     @Test
     fun `a connection lost at the commit is resolved by the identifier of the commit`() {
-        val transaction = begin()
+        val transaction = harness.begin()
         commit(transaction, number = 2)
         harness.breakConnection()
         expectThat(harness.lastCommand).isA<SessionCommand.Resolve>().get { identifier.value }.isEqualTo("request-2")
@@ -80,7 +79,7 @@
     // Guards against a caller that repeats a commit and is told that the committed transaction was not run.
     @Test
     fun `a commit that is repeated after the transaction ended is answered from its record`() {
-        val transaction = begin()
+        val transaction = harness.begin()
         commit(transaction, number = 2)
         harness.answer(done(at(11)))
         harness.reachDurability()
@@ -92,9 +91,9 @@
     // Guards against a transaction that goes on at a replaced primary, whose commit cannot become durable.
     @Test
     fun `a new term ends idle and running transactions and resolves a commit under way`() {
-        val idle = begin(number = 1)
-        val running = begin(number = 2)
-        val committing = begin(number = 3)
+        val idle = harness.begin(number = 1)
+        val running = harness.begin(number = 2)
+        val committing = harness.begin(number = 3)
         run(running, number = 4)
         commit(committing, number = 5)
         harness.replacePrimary(Fixture.REPLICA, term = 2)
@@ -109,11 +108,11 @@
     // Guards against an abandoned transaction that holds its connection and locks.
     @Test
     fun `a transaction ends after its idle time and after its life`() {
-        begin(number = 1)
+        harness.begin(number = 1)
         harness.pass(millis = 5_000)
         expectThat(returned()).containsExactly(ConnectionCondition.DOUBTFUL)
 
-        val transaction = begin(number = 2)
+        val transaction = harness.begin(number = 2)
         for (number in 3..10L) {
             harness.pass(millis = 4_000)
             run(transaction, number)
@@ -125,7 +124,7 @@
     // Guards against a statement that hangs and keeps the transaction, its connection and its caller waiting.
     @Test
     fun `a statement that exceeds its deadline ends the transaction`() {
-        val transaction = begin()
+        val transaction = harness.begin()
         harness.arrive(RequestBody.TransactionStatements(transaction, write().statements), number = 2, deadline = 100)
         harness.pass(millis = 100)
 
@@ -162,7 +161,7 @@
     fun `a transaction whose caller is gone before it began is closed`() {
         harness.arrive(RequestBody.BeginTransaction)
         harness.handle(Event.CallerDisconnected(ArrivalNumber(1)))
-        harness.answer(SessionAnswer.Done(status(), position = at(10)))
+        harness.answer(done(at(10)))
 
         expectThat(harness.answers).isEmpty()
         expectThat(returned()).containsExactly(ConnectionCondition.DOUBTFUL)
@@ -171,20 +170,15 @@
     // Guards against a transaction of a forwarded request that only the forwarding proxy could use.
     @Test
     fun `a transaction that a peer's caller opened names this proxy`() {
-        val message = PeerMessage.ForwardedRequest(ARRIVAL, hops = 1, harness.request(RequestBody.BeginTransaction))
+        val request = harness.request(RequestBody.BeginTransaction)
+        val message = PeerMessage.ForwardedRequest(ArrivalNumber(5), hops = 1, request)
         harness.handle(Event.PeerMessageReceived(Fixture.node(port = 2), message))
-        harness.answer(SessionAnswer.Done(status(), position = at(10)))
+        harness.answer(done(at(10)))
 
         val answer = harness.sent<PeerMessage.ForwardedAnswer>().single().answer as CallerAnswer.Completed
         expectThat(TransactionIdentifier.parse(answer.transaction.orEmpty())?.owner).isEqualTo(harness.self)
     }
 
-    private fun begin(number: Long = 1): String {
-        harness.arrive(RequestBody.BeginTransaction, number)
-        harness.answer(SessionAnswer.Done(status(), position = at(10)))
-        return checkNotNull((harness.answers.last() as CallerAnswer.Completed).transaction)
-    }
-
     private fun run(transaction: String, number: Long) =
         harness.arrive(RequestBody.TransactionStatements(transaction, write().statements), number)
 
@@ -194,8 +188,4 @@
     private fun lastRefusal() = (harness.answers.last() as CallerAnswer.Refused).kind
 
     private fun returned() = harness.signalled<Signal.ConnectionReturned>().map { it.condition }
-
-    private companion object {
-        val ARRIVAL = ArrivalNumber(5)
-    }
 }
--- a/core/src/test/kotlin/dev/hibiscusreach/core/request/WriteTest.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/request/WriteTest.kt
@@ -232,6 +232,18 @@
             .containsExactly(ErrorKind.DEADLINE_EXCEEDED, ErrorKind.OUTCOME_UNKNOWN, ErrorKind.OUTCOME_UNKNOWN)
     }
 
+    // Guards against a request that waits for a connection for ever, and against one that is granted to nobody.
+    @Test
+    fun `a request that gets no connection in time takes its wish back and is refused`() {
+        harness.poolsAnswer = false
+        harness.arrive(write(), number = 1, deadline = 400)
+        harness.arrive(write(), number = 2)
+        harness.pass(millis = 1_200)
+
+        expectThat(harness.refusals).containsExactly(ErrorKind.DEADLINE_EXCEEDED, ErrorKind.OVERLOADED)
+        expectThat(harness.signalled<Signal.ConnectionNotWanted>()).hasSize(2)
+    }
+
     // Guards against a refused question about an outcome that reads as "the write did not run".
     @Test
     fun `a question about an outcome is answered from the record or as unknown`() {
