--- a/daemon/src/main/kotlin/dev/hibiscusreach/daemon/InventoryTables.kt
+++ b/daemon/src/main/kotlin/dev/hibiscusreach/daemon/InventoryTables.kt
@@ -112,10 +112,14 @@
         try {
             read(record)
         } catch (failure: InvalidField) {
-            faults += "$file, record ${record.recordNumber}: ${failure.message}"
+            faults += "$file, line ${lineOf(file, record)}: ${failure.message}"
             null
         }
 
+    // A field in quotes may hold line breaks, so the record's number does not tell its line.
+    private fun lineOf(file: Path, record: CSVRecord): Int =
+        1 + InputFiles.text(file).take(record.characterPosition.toInt()).count { it == '\n' }
+
     private fun <T> parse(file: Path, read: (CSVParser) -> T): T =
         try {
             CSVParser.parse(InputFiles.text(file), format).use(read)
