Bound connections of clients and pass large messages in parts

The configuration of a large fleet does not fit into one frame of 1 MiB, and a slow control endpoint could use a connection for each waiting call. Messages up to 4 MiB now travel in several frames, calls to one endpoint share at most 64 connections, interim responses never overtake answers, and a failed bind closes what was opened.

--- a/daemon/src/main/kotlin/dev/hibiscusreach/daemon/LogSetup.kt
+++ b/daemon/src/main/kotlin/dev/hibiscusreach/daemon/LogSetup.kt
@@ -38,10 +38,19 @@
 
     private fun encoder(format: LogFormat, context: LoggerContext): Encoder<ILoggingEvent> =
         when (format) {
-            LogFormat.JSON -> JsonEncoder()
+            LogFormat.JSON -> jsonEncoder()
             LogFormat.TEXT -> PatternLayoutEncoder().apply { pattern = PATTERN }
         }.apply {
             this.context = context
             start()
         }
+
+    private fun jsonEncoder() =
+        JsonEncoder().apply {
+            setWithContext(false)
+            setWithSequenceNumber(false)
+            setWithNanoseconds(false)
+            setWithMessage(false)
+            setWithFormattedMessage(true)
+        }
 }
--- a/daemon/src/main/kotlin/dev/hibiscusreach/daemon/Main.kt
+++ b/daemon/src/main/kotlin/dev/hibiscusreach/daemon/Main.kt
@@ -38,6 +38,7 @@
         /** The command line with its error handling. */
         fun commandLine(): CommandLine =
             CommandLine(Main())
+                .setCaseInsensitiveEnumValuesAllowed(true)
                 .setExecutionExceptionHandler { failure, commandLine, _ -> report(failure, commandLine) }
 
         private fun report(failure: Exception, commandLine: CommandLine): Int {
--- a/daemon/src/test/kotlin/dev/hibiscusreach/daemon/LoadCommandTest.kt
+++ b/daemon/src/test/kotlin/dev/hibiscusreach/daemon/LoadCommandTest.kt
@@ -115,6 +115,18 @@
         expectThat(different.output).contains("~ server jobs-1 of jobs")
     }
 
+    /** Guards against shown files that cannot be loaded again. */
+    @Test
+    fun `shown inventory and rules can be loaded`() {
+        loadBoth()
+        val shown =
+            listOf("inventory", "rules").flatMap { part ->
+                val text = CommandRun.of("show", "--platform", platform.address, "--part", part).output
+                listOf("--$part", TestFiles.write(folder, "shown-$part.json", text))
+            }
+        expectThat(load(*shown.toTypedArray()).output).contains("nothing to change")
+    }
+
     /** Guards against an invalid file that replaces a valid configuration. */
     @Test
     fun `invalid files are not loaded`() {
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/ProxyRuntime.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/ProxyRuntime.kt
@@ -12,6 +12,7 @@
 import dev.hibiscusreach.runtime.backend.HttpServerSessions
 import dev.hibiscusreach.runtime.caller.CallerEndpoint
 import dev.hibiscusreach.runtime.caller.TokenSigner
+import dev.hibiscusreach.runtime.http.BindException
 import dev.hibiscusreach.runtime.loop.EventLoop
 import dev.hibiscusreach.runtime.loop.LoopListener
 import dev.hibiscusreach.runtime.loop.ProxyClock
@@ -40,7 +41,7 @@
 class ProxyRuntime private constructor(
     private val settings: DaemonSettings,
     private val clock: ProxyClock,
-    listener: PeerListener,
+    private val listener: PeerListener,
 ) : OperationsView,
     AutoCloseable {
     private val self = NodeIdentity(listener.endpoint, clock.wallClockMillis(), Random.nextInt())
@@ -56,12 +57,8 @@
     private val configurationClock = ConfigurationClock()
 
     /** Where the process listens, with actual ports. */
-    val addresses: DumpedAddresses =
-        DumpedAddresses(
-            caller = callers.bind(group, settings.addresses.caller),
-            operations = operations.bind(group, settings.addresses.operations),
-            peer = listener.endpoint,
-        )
+    lateinit var addresses: DumpedAddresses
+        private set
 
     override val isLive: Boolean get() = loop.isAlive
 
@@ -87,6 +84,15 @@
         group.shutdownGracefully(0, SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS).awaitUninterruptibly(SHUTDOWN_MILLIS)
     }
 
+    private fun bind() {
+        addresses =
+            DumpedAddresses(
+                caller = callers.bind(group, settings.addresses.caller),
+                operations = operations.bind(group, settings.addresses.operations),
+                peer = listener.endpoint,
+            )
+    }
+
     private fun start() {
         registerGauges()
         val adapters = Adapters(callers, sessions, control, platform, peers, ProxyTelemetry(metrics))
@@ -143,8 +149,17 @@
         private const val SHUTDOWN_MILLIS = 1_000L
         private val json = Json { encodeDefaults = true }
 
-        /** Starts a proxy. Throws [dev.hibiscusreach.runtime.http.BindException] if an address cannot be used. */
-        fun start(settings: DaemonSettings, clock: ProxyClock = SystemClock()): ProxyRuntime =
-            ProxyRuntime(settings, clock, PeerListener.bind(settings.addresses.peer)).also { it.start() }
+        /** Starts a proxy. Throws a [BindException] if an address cannot be used. */
+        fun start(settings: DaemonSettings, clock: ProxyClock = SystemClock()): ProxyRuntime {
+            val runtime = ProxyRuntime(settings, clock, PeerListener.bind(settings.addresses.peer))
+            try {
+                runtime.bind()
+            } catch (failure: BindException) {
+                runtime.close()
+                throw failure
+            }
+            runtime.start()
+            return runtime
+        }
     }
 }
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/caller/CallerConnection.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/caller/CallerConnection.kt
@@ -15,6 +15,8 @@
     private val answers = AnswerQueue(context, endpoint.writer, listener = this)
     private var unsent = 0
 
+    override val hasUnsentAnswers: Boolean get() = unsent > 0
+
     override val inputEnded: Boolean get() = collector.hasEnded || endpoint.isClosing
 
     override fun received(request: IncomingRequest) {
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/caller/RequestCollector.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/caller/RequestCollector.kt
@@ -23,6 +23,9 @@
 ) {
     /** Told of each request. */
     interface Listener {
+        /** Whether an interim response would reach the caller before the answers to earlier requests. */
+        val hasUnsentAnswers: Boolean
+
         /** A request arrived whole. */
         fun received(request: IncomingRequest)
 
@@ -84,7 +87,7 @@
         request = IncomingRequest(head)
         if (HttpUtil.getContentLength(head, 0L) > limits.maximumBodyBytes) {
             refuse(refusals.tooLarge())
-        } else if (HttpUtil.is100ContinueExpected(head)) {
+        } else if (HttpUtil.is100ContinueExpected(head) && !listener.hasUnsentAnswers) {
             context.writeAndFlush(
                 DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER),
             )
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpCaller.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpCaller.kt
@@ -3,7 +3,6 @@
 import dev.hibiscusreach.core.event.ConnectionFailure
 import dev.hibiscusreach.core.model.Endpoint
 import io.netty.channel.EventLoopGroup
-import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
 
 /**
@@ -11,108 +10,107 @@
  * so that the connections need no locks.
  */
 internal class HttpCaller(
-    private val group: EventLoopGroup,
+    group: EventLoopGroup,
     private val maximumResponseBytes: Int,
 ) : AutoCloseable {
     private val executor = group.next()
-    private val idle = HashMap<Endpoint, ArrayDeque<HttpConnection>>()
-    private val exchanges = HashMap<HttpConnection, Exchange>()
-
-    private inner class Exchange(val call: HttpCall, val done: (HttpOutcome) -> Unit) {
-        private val startedAt = System.nanoTime()
-        private var timeout: Future<*>? = null
-        private var ended = false
-        var reused = false
-        var connection: HttpConnection? = null
-
-        val remainingMillis: Long
-            get() = call.timeout.value - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAt)
-
-        fun start() {
-            timeout = executor.schedule(::timedOut, call.timeout.value, TimeUnit.MILLISECONDS)
-        }
-
-        fun end(outcome: HttpOutcome) {
-            if (!ended) {
-                ended = true
-                timeout?.cancel(false)
-                done(outcome)
-            }
-        }
-
-        // Other connections to the endpoint may be as unresponsive as this one, so none of them is used again.
-        private fun timedOut() {
-            end(HttpOutcome.Failed(ConnectionFailure.TIMED_OUT))
-            connection?.let { exchanges.remove(it)?.connection?.close() }
-            idle.remove(call.endpoint)?.forEach(HttpConnection::close)
-        }
-    }
+    private val destinations = HashMap<Endpoint, Destination>()
 
     /** Makes [call]; [done] is called once, within the call's timeout. */
     fun call(call: HttpCall, done: (HttpOutcome) -> Unit) {
         executor.execute {
-            val exchange = Exchange(call, done)
-            exchange.start()
-            val connection = idle[call.endpoint]?.removeLastOrNull()
-            if (connection == null) connect(exchange) else send(exchange, connection, reused = true)
+            val destination = destinations.getOrPut(call.endpoint) { Destination(call.endpoint) }
+            val exchange = HttpExchange(call, done)
+            exchange.timeout =
+                executor.schedule({ destination.timedOut(exchange) }, call.timeout.value, TimeUnit.MILLISECONDS)
+            destination.begin(exchange)
         }
     }
 
     override fun close() {
-        executor.execute {
-            idle.values.flatten().forEach(HttpConnection::close)
-            idle.clear()
-            exchanges.keys.toList().forEach(HttpConnection::close)
-        }
+        executor.execute { destinations.values.forEach(Destination::closeAll) }
     }
 
-    private fun connect(exchange: Exchange) {
-        val connection = HttpConnection(exchange.call.endpoint, ConnectionListener())
-        exchange.connection = connection
-        exchanges[connection] = exchange
-        val timeoutMillis = maxOf(1L, exchange.remainingMillis).toInt()
-        connection.connect(executor, timeoutMillis, maximumResponseBytes)
-    }
+    /** The connections to one endpoint. */
+    private inner class Destination(private val endpoint: Endpoint) : HttpConnection.Listener {
+        private val open = HashSet<HttpConnection>()
+        private val idle = ArrayDeque<HttpConnection>()
+        private val busy = HashMap<HttpConnection, HttpExchange>()
+        private val waiting = ArrayDeque<HttpExchange>()
+
+        fun begin(exchange: HttpExchange) {
+            val connection = idle.removeLastOrNull()
+            when {
+                connection != null -> send(exchange, connection, reused = true)
+                open.size < MAXIMUM_CONNECTIONS -> connect(exchange)
+                else -> waiting.addLast(exchange)
+            }
+        }
 
-    private fun send(exchange: Exchange, connection: HttpConnection, reused: Boolean) {
-        exchange.reused = reused
-        exchange.connection = connection
-        exchanges[connection] = exchange
-        connection.send(exchange.call.message)
-    }
+        // Other connections to the endpoint may be as unresponsive as this one, so none of them is used again.
+        fun timedOut(exchange: HttpExchange) {
+            waiting.remove(exchange)
+            val connection = busy.entries.find { it.value === exchange }?.key
+            busy.remove(connection)
+            connection?.close()
+            idle.toList().forEach(HttpConnection::close)
+            idle.clear()
+            exchange.end(HttpOutcome.Failed(ConnectionFailure.TIMED_OUT))
+        }
 
-    private fun keep(endpoint: Endpoint, connection: HttpConnection) {
-        val connections = idle.getOrPut(endpoint) { ArrayDeque() }
-        if (connections.size < MAXIMUM_IDLE) connections.addLast(connection) else connection.close()
-    }
+        fun closeAll() = open.toList().forEach(HttpConnection::close)
 
-    private inner class ConnectionListener : HttpConnection.Listener {
         override fun connected(connection: HttpConnection) {
-            val exchange = exchanges[connection]
+            val exchange = busy[connection]
             if (exchange == null) connection.close() else send(exchange, connection, reused = false)
         }
 
         override fun answered(connection: HttpConnection, answer: HttpOutcome.Answered, reusable: Boolean) {
-            val exchange = exchanges.remove(connection)
+            val exchange = busy.remove(connection)
+            if (exchange != null && reusable) reuse(connection) else connection.close()
             exchange?.end(answer)
-            if (exchange != null && reusable) keep(exchange.call.endpoint, connection) else connection.close()
         }
 
         override fun closed(connection: HttpConnection, failure: ConnectionFailure) {
-            idle.values.forEach { it.remove(connection) }
-            val exchange = exchanges.remove(connection) ?: return
-            // A server may close an idle connection at the moment at which it is used again.
-            val stale = exchange.reused && exchange.call.repeatable
-            if (stale && exchange.remainingMillis > 0) {
-                exchange.reused = false
-                connect(exchange)
-            } else {
-                exchange.end(HttpOutcome.Failed(failure))
+            open -= connection
+            idle -= connection
+            val exchange = busy.remove(connection)
+            when {
+                exchange == null -> Unit
+                exchange.mayBeSentAgain -> connect(exchange)
+                else -> exchange.end(HttpOutcome.Failed(failure))
+            }
+            if (open.size < MAXIMUM_CONNECTIONS) waiting.removeFirstOrNull()?.let(::connect)
+        }
+
+        private fun connect(exchange: HttpExchange) {
+            val connection = HttpConnection(endpoint, listener = this)
+            exchange.reused = false
+            open += connection
+            busy[connection] = exchange
+            connection.connect(executor, exchange.remainingMillis.toInt(), maximumResponseBytes)
+        }
+
+        private fun send(exchange: HttpExchange, connection: HttpConnection, reused: Boolean) {
+            exchange.reused = reused
+            busy[connection] = exchange
+            connection.send(exchange.call.message)
+        }
+
+        private fun reuse(connection: HttpConnection) {
+            val next = waiting.removeFirstOrNull()
+            when {
+                next != null -> send(next, connection, reused = true)
+                idle.size < MAXIMUM_IDLE -> idle.addLast(connection)
+                else -> connection.close()
             }
         }
     }
 
     private companion object {
         const val MAXIMUM_IDLE = 16
+
+        /** Bounds the connections when many calls wait for a slow endpoint. */
+        const val MAXIMUM_CONNECTIONS = 64
     }
 }
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/peer/KtorPeerLinks.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/peer/KtorPeerLinks.kt
@@ -38,7 +38,7 @@
 
     /** A link that is being opened, with the messages that wait for it. */
     private class Dial {
-        val waiting = mutableListOf<Pair<NodeIdentity, ByteArray>>()
+        val waiting = mutableListOf<Pair<NodeIdentity, List<ByteArray>>>()
         var waitingBytes = 0
     }
 
@@ -79,21 +79,22 @@
     }
 
     private fun send(to: NodeIdentity, message: PeerMessage) {
-        val frame = LinkCodec.encode(LinkFrame.Message(message))
+        val frames = LinkCodec.encode(message)
         val link = links[to]
         when {
-            frame.size > LinkCodec.MAXIMUM_FRAME_BYTES ->
-                log.warn("message {} of {} bytes is too large for {}", message::class.simpleName, frame.size, to)
-            link != null -> if (!link.offer(frame)) link.close("too many bytes wait to be sent")
-            else -> enqueue(to, frame)
+            frames.sumOf { it.size } > LinkCodec.MAXIMUM_MESSAGE_BYTES ->
+                log.error("{} of {} frames is too large for {}", message::class.simpleName, frames.size, to)
+            link != null -> if (!link.offer(frames)) link.close("too many bytes wait to be sent")
+            else -> enqueue(to, frames)
         }
     }
 
-    private fun enqueue(to: NodeIdentity, frame: ByteArray) {
+    private fun enqueue(to: NodeIdentity, frames: List<ByteArray>) {
         val dial = dial(to.peerEndpoint)
-        if (dial.waitingBytes + frame.size <= settings.maximumQueuedBytes) {
-            dial.waiting += to to frame
-            dial.waitingBytes += frame.size
+        val size = frames.sumOf { it.size }
+        if (dial.waitingBytes + size <= settings.maximumQueuedBytes) {
+            dial.waiting += to to frames
+            dial.waitingBytes += size
         } else {
             sink.submit(Event.PeerUnreachable(to))
         }
@@ -109,7 +110,7 @@
         dials.remove(endpoint)
         val (reached, missed) = dial.waiting.partition { (node, _) -> node == link?.remote?.node }
         missed.map { it.first }.distinct().forEach { sink.submit(Event.PeerUnreachable(it)) }
-        reached.forEach { (_, frame) -> link?.offer(frame) }
+        reached.forEach { (_, frames) -> link?.offer(frames) }
         link?.start(scope)
     }
 
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/peer/LinkCodec.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/peer/LinkCodec.kt
@@ -19,6 +19,10 @@
     const val PROTOCOL_VERSION = 1
     const val MAXIMUM_FRAME_BYTES = 1024 * 1024
 
+    /** Bytes of a message in all its frames. */
+    const val MAXIMUM_MESSAGE_BYTES = 4 * 1024 * 1024
+    private const val PART_BYTES = 512 * 1024
+
     private val cbor =
         Cbor {
             ignoreUnknownKeys = true
@@ -29,6 +33,12 @@
                 }
         }
 
+    /** [message] as frames; a large one, such as the configuration of a large fleet, takes several. */
+    fun encode(message: PeerMessage): List<ByteArray> {
+        val whole = encode(LinkFrame.Message(message))
+        return if (whole.size <= MAXIMUM_FRAME_BYTES) listOf(whole) else split(whole)
+    }
+
     fun encode(frame: LinkFrame): ByteArray = cbor.encodeToByteArray(LinkFrame.serializer(), frame)
 
     fun encode(hello: Hello): ByteArray = cbor.encodeToByteArray(Hello.serializer(), hello)
@@ -41,6 +51,12 @@
         return decode(Hello.serializer(), bytes)
     }
 
+    private fun split(whole: ByteArray): List<ByteArray> =
+        (whole.indices step PART_BYTES).map { start ->
+            val end = minOf(start + PART_BYTES, whole.size)
+            encode(LinkFrame.Part(whole.copyOfRange(start, end), last = end == whole.size))
+        }
+
     // The library reports malformed input with several kinds of unchecked exceptions, not only its own.
     @Suppress("TooGenericExceptionCaught")
     private fun <T> decode(deserializer: DeserializationStrategy<T>, bytes: ByteArray): T =
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/peer/LinkFrame.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/peer/LinkFrame.kt
@@ -2,8 +2,10 @@
 
 import dev.hibiscusreach.core.event.PeerMessage
 import dev.hibiscusreach.core.event.PeerUpdate
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
 
 /** The part of a [Hello] that all protocol versions share. */
 @Serializable
@@ -21,6 +23,12 @@
     @SerialName("message")
     data class Message(val message: PeerMessage) : LinkFrame
 
+    /** A part of a [Message] that does not fit into one frame, as bytes of its encoding. */
+    @OptIn(ExperimentalSerializationApi::class)
+    @Serializable
+    @SerialName("part")
+    class Part(@ByteString val bytes: ByteArray, val last: Boolean) : LinkFrame
+
     /** Asks for a [HeartbeatAnswer], to find out whether a silent link still works. */
     @Serializable
     @SerialName("heartbeat")
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/peer/PeerLink.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/peer/PeerLink.kt
@@ -30,6 +30,7 @@
     }
 
     private val queue = Channel<ByteArray>(Channel.UNLIMITED)
+    private val joiner = PartJoiner()
     private var queuedBytes = 0
     private var writer: Job? = null
     private var reader: Job? = null
@@ -52,11 +53,12 @@
         }
     }
 
-    /** Queues [frame]; false if too much waits already. */
-    fun offer(frame: ByteArray): Boolean {
-        val fits = queuedBytes + frame.size <= settings.maximumQueuedBytes
-        if (fits && queue.trySend(frame).isSuccess) {
-            queuedBytes += frame.size
+    /** Queues [frames], all or none; false if too much waits already. */
+    fun offer(frames: List<ByteArray>): Boolean {
+        val size = frames.sumOf { it.size }
+        val fits = queuedBytes == 0 || queuedBytes + size <= settings.maximumQueuedBytes
+        if (fits && frames.all { queue.trySend(it).isSuccess }) {
+            queuedBytes += size
             lastMessageAt = System.nanoTime()
             if (silentSince == null) silentSince = lastMessageAt
         }
@@ -110,14 +112,14 @@
         while (true) {
             val bytes = socket.read()
             silentSince = null
-            when (val frame = LinkCodec.decode(bytes)) {
+            when (val frame = joiner.join(LinkCodec.decode(bytes))) {
                 is LinkFrame.Message -> {
                     lastMessageAt = System.nanoTime()
                     listener.received(this, frame, bytes.size)
                 }
                 LinkFrame.Heartbeat -> queue.trySend(heartbeatAnswer)
                 LinkFrame.Goodbye -> break
-                LinkFrame.HeartbeatAnswer, LinkFrame.Unknown -> Unit
+                is LinkFrame.Part, LinkFrame.HeartbeatAnswer, LinkFrame.Unknown -> Unit
             }
         }
         agreed = true
--- a/runtime/src/test/kotlin/dev/hibiscusreach/runtime/caller/CallerEndpointTest.kt
+++ b/runtime/src/test/kotlin/dev/hibiscusreach/runtime/caller/CallerEndpointTest.kt
@@ -73,6 +73,21 @@
             }
         }
 
+    /** Guards against an interim response that a caller takes for the answer to an earlier request. */
+    @Test
+    fun `a caller that waits before it sends a body is asked to go on`() = serve {
+        caller().use { caller ->
+            val head = "POST $STATEMENTS HTTP/1.1\r\n$CALLER\r\nExpect: 100-continue\r\n"
+            caller.write("${head}Content-Length: ${READ.length}\r\n\r\n")
+            expectThat(caller.read().status).isEqualTo(100)
+            caller.write(READ)
+            val arrival = arrival()
+            caller.write("${head}Content-Length: ${READ.length}\r\n\r\n$READ")
+            listOf(arrival, arrival()).forEach(::complete)
+            expectThat(List(2) { caller.read().status }).isEqualTo(listOf(200, 200))
+        }
+    }
+
     /** Guards against requests that hold memory while they arrive slowly. */
     @Test
     fun `a slow request is refused as incomplete`() = serve(CallerLimits(receiveTimeout = 150.milliseconds)) {
@@ -155,6 +170,9 @@
         val cases =
             listOf<RawCaller.() -> Unit>(
                 { write("\u0001\u0002 nonsense\r\n\r\n") },
+                { write("POST $STATEMENTS HTTP/1.1\r\nContent-Length: abc\r\n\r\n") },
+                { write("POST $STATEMENTS HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n{}") },
+                { write("POST $STATEMENTS HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n") },
                 { post(STATEMENTS, "{", *withCaller) },
                 { post(STATEMENTS, """{"statements":[],"access":"read"}""", *withCaller) },
                 { post(STATEMENTS, READ.replace("access", "acces"), *withCaller) },
--- a/runtime/src/test/kotlin/dev/hibiscusreach/runtime/peer/KtorPeerLinksTest.kt
+++ b/runtime/src/test/kotlin/dev/hibiscusreach/runtime/peer/KtorPeerLinksTest.kt
@@ -5,6 +5,7 @@
 import dev.hibiscusreach.core.event.PeerCondition
 import dev.hibiscusreach.core.event.PeerMessage
 import dev.hibiscusreach.core.event.PeerUpdate
+import dev.hibiscusreach.core.model.Configuration
 import dev.hibiscusreach.core.model.Endpoint
 import dev.hibiscusreach.core.model.FailureDomainName
 import dev.hibiscusreach.core.model.NodeIdentity
@@ -15,11 +16,13 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isTrue
+import java.io.ByteArrayOutputStream
 import java.io.DataInputStream
 import java.io.DataOutputStream
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.net.SocketException
 import kotlin.concurrent.thread
 import kotlin.random.Random
 
@@ -49,14 +52,25 @@
 
         fun read(): ByteArray = ByteArray(input.readInt()).also(input::readFully)
 
-        fun write(frame: ByteArray) {
-            output.writeInt(frame.size)
-            output.write(frame)
+        /** Writes all frames at once, as the link may be closed after the first one. */
+        fun write(vararg frames: ByteArray) {
+            val bytes = ByteArrayOutputStream()
+            frames.forEach {
+                DataOutputStream(bytes).writeInt(it.size)
+                bytes.write(it)
+            }
+            output.write(bytes.toByteArray())
         }
 
         fun writeLength(length: Int) = output.writeInt(length)
 
-        fun isClosed(): Boolean = input.read() < 0
+        /** Whether the link is closed; closing it with unread input resets the connection. */
+        fun isClosed(): Boolean =
+            try {
+                input.read() < 0
+            } catch (failure: SocketException) {
+                failure.message == "Connection reset"
+            }
 
         override fun close() = socket.close()
     }
@@ -149,8 +163,7 @@
         val random = Random(7)
         repeat(50) { round ->
             rawPeer(node).use { peer ->
-                peer.write(random.nextBytes(1 + round))
-                peer.write(byteArrayOf(-1))
+                peer.write(random.nextBytes(1 + round), byteArrayOf(-1))
                 expectThat(peer.isClosed()).isTrue()
             }
         }
@@ -160,6 +173,22 @@
         }
     }
 
+    /** Guards against configurations of large fleets that cannot be passed on, and against messages without a bound. */
+    @Test
+    fun `a message larger than a frame arrives whole`(): Unit = withNodes { first, second ->
+        val large = PeerMessage.ConfigurationDelivered(Configuration(), List(3) { "x".repeat(1_000_000) })
+        first.send(second.update.node, large)
+        first.send(second.update.node, ping)
+        second.sink.next<Event.PeerIntroduced>()
+        expectThat(second.sink.next<Event.PeerMessageReceived>().message).isEqualTo(large)
+        expectThat(second.sink.next<Event.PeerMessageReceived>().message).isEqualTo(ping)
+        rawPeer(second).use { peer ->
+            val part = LinkCodec.encode(LinkFrame.Part(ByteArray(1_000_000), last = false))
+            peer.write(part, part, part, part, part)
+            expectThat(peer.isClosed()).isTrue()
+        }
+    }
+
     /** Guards against a rolling upgrade in which one new message breaks the links. */
     @Test
     fun `messages and frames of unknown types are ignored`(): Unit = Node(PeerLinkSettings()).use { node ->
