Make the adapters to outside systems exchangeable

The process made its HTTP adapters itself, so another protocol to backend servers or the platform needed changes there. A factory now makes them. A put that was answered with 503 is not sent to the next platform endpoint any more, because it may have taken effect. Kept connections without a use are closed after 30 s. Tests also cover the bound on connections, random input and a peer that reads nothing.

--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/ProxyRuntime.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/ProxyRuntime.kt
@@ -7,9 +7,9 @@
 import dev.hibiscusreach.core.model.MonotonicTime
 import dev.hibiscusreach.core.model.NodeIdentity
 import dev.hibiscusreach.core.reducer.ProxyState
+import dev.hibiscusreach.runtime.adapter.AdapterFactory
 import dev.hibiscusreach.runtime.adapter.Adapters
-import dev.hibiscusreach.runtime.backend.HttpServerControl
-import dev.hibiscusreach.runtime.backend.HttpServerSessions
+import dev.hibiscusreach.runtime.adapter.HttpAdapterFactory
 import dev.hibiscusreach.runtime.caller.CallerEndpoint
 import dev.hibiscusreach.runtime.caller.TokenSigner
 import dev.hibiscusreach.runtime.http.BindException
@@ -27,7 +27,6 @@
 import dev.hibiscusreach.runtime.peer.KtorPeerLinks
 import dev.hibiscusreach.runtime.peer.PeerLinkSettings
 import dev.hibiscusreach.runtime.peer.PeerListener
-import dev.hibiscusreach.runtime.platform.HttpPlatformClient
 import dev.hibiscusreach.runtime.settings.DaemonSettings
 import dev.hibiscusreach.runtime.telemetry.Metrics
 import dev.hibiscusreach.runtime.telemetry.ProxyTelemetry
@@ -41,6 +40,7 @@
 class ProxyRuntime private constructor(
     private val settings: DaemonSettings,
     private val clock: ProxyClock,
+    factory: AdapterFactory,
     private val listener: PeerListener,
 ) : OperationsView,
     AutoCloseable {
@@ -50,9 +50,9 @@
     private val group = MultiThreadIoEventLoopGroup(NETWORK_THREADS, NioIoHandler.newFactory())
     private val callers = CallerEndpoint(loop, TokenSigner(settings.tokenKey.bytes), settings.callerLimits, metrics)
     private val operations = OperationsEndpoint(view = this)
-    private val sessions = HttpServerSessions(group, loop)
-    private val control = HttpServerControl(group, loop)
-    private val platform = HttpPlatformClient(group, settings.addresses.platform, loop)
+    private val sessions = factory.sessions(group, loop)
+    private val control = factory.control(group, loop)
+    private val platform = factory.platform(group, settings.addresses.platform, loop)
     private val peers = KtorPeerLinks(listener, loop, PeerLinkSettings(), metrics, ::ownUpdate)
     private val configurationClock = ConfigurationClock()
 
@@ -150,8 +150,12 @@
         private val json = Json { encodeDefaults = true }
 
         /** Starts a proxy. Throws a [BindException] if an address cannot be used. */
-        fun start(settings: DaemonSettings, clock: ProxyClock = SystemClock()): ProxyRuntime {
-            val runtime = ProxyRuntime(settings, clock, PeerListener.bind(settings.addresses.peer))
+        fun start(
+            settings: DaemonSettings,
+            clock: ProxyClock = SystemClock(),
+            factory: AdapterFactory = HttpAdapterFactory,
+        ): ProxyRuntime {
+            val runtime = ProxyRuntime(settings, clock, factory, PeerListener.bind(settings.addresses.peer))
             try {
                 runtime.bind()
             } catch (failure: BindException) {
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/adapter/Adapters.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/adapter/Adapters.kt
@@ -11,6 +11,9 @@
 
 /** Session connections to backend servers. */
 interface ServerSessions : AutoCloseable {
+    /** Connections that are open or being opened. */
+    val connectionCount: Int
+
     /** Opens a connection; exactly one of `ConnectionOpened` and `ConnectionOpenFailed` follows unless it is closed. */
     fun open(effect: Effect.OpenConnection)
 
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/backend/HttpServerSessions.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/backend/HttpServerSessions.kt
@@ -25,8 +25,7 @@
 ) : ServerSessions {
     private val sessions = ConcurrentHashMap<ConnectionNumber, Session>()
 
-    /** Connections that are open or being opened. */
-    val connectionCount: Int get() = sessions.size
+    override val connectionCount: Int get() = sessions.size
 
     override fun open(effect: Effect.OpenConnection) {
         val session = Session(effect.connection)
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpCaller.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpCaller.kt
@@ -93,21 +93,31 @@
 
         private fun send(exchange: HttpExchange, connection: HttpConnection, reused: Boolean) {
             exchange.reused = reused
+            connection.idleTimeout?.cancel(false)
             busy[connection] = exchange
             connection.send(exchange.call.message)
         }
 
+        private fun keep(connection: HttpConnection) {
+            idle.addLast(connection)
+            val expire = { if (idle.remove(connection)) connection.close() }
+            connection.idleTimeout = executor.schedule(expire, IDLE_MILLIS, TimeUnit.MILLISECONDS)
+        }
+
         private fun reuse(connection: HttpConnection) {
             val next = waiting.removeFirstOrNull()
             when {
                 next != null -> send(next, connection, reused = true)
-                idle.size < MAXIMUM_IDLE -> idle.addLast(connection)
+                idle.size < MAXIMUM_IDLE -> keep(connection)
                 else -> connection.close()
             }
         }
     }
 
     private companion object {
+        /** Closes the connections to servers that left the inventory. */
+        const val IDLE_MILLIS = 30_000L
+
         const val MAXIMUM_IDLE = 16
 
         /** Bounds the connections when many calls wait for a slow endpoint. */
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpConnection.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpConnection.kt
@@ -46,6 +46,9 @@
     }
 
     private lateinit var channel: Channel
+
+    /** Ends the time for which the owner keeps the connection without a use. */
+    var idleTimeout: Future<*>? = null
     private var finished = false
 
     /** Starts to connect. */
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/platform/HttpPlatformClient.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/platform/HttpPlatformClient.kt
@@ -74,7 +74,8 @@
         // that the first one caused. A call over the rate limit must not cause more calls.
         private fun mayTryAgain(outcome: HttpOutcome): Boolean =
             when (outcome) {
-                is HttpOutcome.Answered -> outcome.status == PlatformWire.STATUS_UNAVAILABLE
+                is HttpOutcome.Answered ->
+                    outcome.status == PlatformWire.STATUS_UNAVAILABLE && request !is PlatformCall.Put
                 is HttpOutcome.Failed ->
                     outcome.failure == ConnectionFailure.REFUSED || request !is PlatformCall.Put
             }
--- a/runtime/src/test/kotlin/dev/hibiscusreach/runtime/RecordingSink.kt
+++ b/runtime/src/test/kotlin/dev/hibiscusreach/runtime/RecordingSink.kt
@@ -9,8 +9,13 @@
 internal class RecordingSink : EventSink {
     val events = LinkedBlockingQueue<Event>()
 
+    /** Called with each event. */
+    @Volatile
+    var listener: (Event) -> Unit = {}
+
     override fun submit(event: Event) {
         events += event
+        listener(event)
     }
 
     /** The next event, which must be a [T]. */
--- a/runtime/src/test/kotlin/dev/hibiscusreach/runtime/backend/HttpServerControlTest.kt
+++ b/runtime/src/test/kotlin/dev/hibiscusreach/runtime/backend/HttpServerControlTest.kt
@@ -9,9 +9,11 @@
 import dev.hibiscusreach.core.event.ServerRole
 import dev.hibiscusreach.core.event.ServerStatus
 import dev.hibiscusreach.core.model.Endpoint
+import dev.hibiscusreach.core.model.Millis
 import dev.hibiscusreach.core.model.Position
 import dev.hibiscusreach.core.model.ServerName
 import dev.hibiscusreach.core.model.Term
+import dev.hibiscusreach.core.model.inSeconds
 import dev.hibiscusreach.core.model.milliseconds
 import dev.hibiscusreach.runtime.RecordingSink
 import dev.hibiscusreach.runtime.ScriptedServer
@@ -20,6 +22,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isTrue
 
 class HttpServerControlTest {
@@ -34,14 +37,14 @@
             HttpServerControl(group, sink).use { test(it, sink) }
         }
 
-    private fun HttpServerControl.probe(endpoint: Endpoint) =
+    private fun HttpServerControl.probe(endpoint: Endpoint, timeout: Millis = 300.milliseconds) =
         send(
             Effect.SendControlCommand(
                 ControlCallNumber(1),
                 name,
                 endpoint,
                 ControlCommand.Probe,
-                timeout = 300.milliseconds,
+                timeout = timeout,
             ),
         )
 
@@ -88,6 +91,22 @@
         }
     }
 
+    /** Guards against a connection for each of many calls that wait for a slow server. */
+    @Test
+    fun `many calls at once share a bounded number of connections`() {
+        val slow = { _: String, _: String ->
+            Thread.sleep(20)
+            response(200, confirmed)
+        }
+        ScriptedServer(slow).use { server ->
+            withControl { control, sink ->
+                repeat(200) { control.probe(server.endpoint, timeout = 5.inSeconds) }
+                repeat(200) { sink.next<Event.ControlAnswered>() }
+                expectThat(server.connectionCount).isLessThanOrEqualTo(64)
+            }
+        }
+    }
+
     /** Guards against a refused connection that is taken for a slow one: it proves that nothing ran. */
     @Test
     fun `a refused connection is reported as such`() =
--- a/runtime/src/test/kotlin/dev/hibiscusreach/runtime/caller/CallerEndpointTest.kt
+++ b/runtime/src/test/kotlin/dev/hibiscusreach/runtime/caller/CallerEndpointTest.kt
@@ -16,6 +16,8 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
+import strikt.assertions.startsWith
+import kotlin.random.Random
 
 class CallerEndpointTest {
     private class Fixture(val endpoint: CallerEndpoint, val sink: RecordingSink, val address: Endpoint) {
@@ -190,6 +192,27 @@
         expectThat(sink.events.poll()).isNull()
     }
 
+    /** Guards against input that breaks the endpoint for other callers, or that gets no answer. */
+    @Test
+    fun `random input is answered and leaves the endpoint working`() = serve {
+        sink.listener = { if (it is Event.RequestArrived) complete(it) }
+        val random = Random(11)
+        val request = "POST $STATEMENTS HTTP/1.1\r\n$CALLER\r\nContent-Length: ${READ.length}\r\n\r\n$READ"
+        repeat(200) {
+            caller().use { caller ->
+                val bytes = request.toCharArray()
+                repeat(1 + random.nextInt(4)) { bytes[random.nextInt(bytes.size)] = random.nextInt(1, 127).toChar() }
+                caller.write(String(bytes))
+                caller.endOutput()
+                expectThat(caller.readAll()).startsWith("HTTP/1.1 ")
+            }
+        }
+        caller().use { caller ->
+            caller.read("works")
+            expectThat(caller.read().body).contains("\"requestId\":\"works\"")
+        }
+    }
+
     /** Guards against forged tokens that reach the reducer. */
     @Test
     fun `a forged token is refused`() = serve {
--- a/runtime/src/test/kotlin/dev/hibiscusreach/runtime/caller/RawCaller.kt
+++ b/runtime/src/test/kotlin/dev/hibiscusreach/runtime/caller/RawCaller.kt
@@ -19,6 +19,9 @@
 
     fun endOutput() = socket.shutdownOutput()
 
+    /** Everything that the proxy sends until it closes the connection. */
+    fun readAll(): String = input.readAllBytes().decodeToString()
+
     /** Breaks the connection off, as a process that dies does. */
     fun reset() {
         socket.setSoLinger(true, 0)
--- a/runtime/src/test/kotlin/dev/hibiscusreach/runtime/peer/KtorPeerLinksTest.kt
+++ b/runtime/src/test/kotlin/dev/hibiscusreach/runtime/peer/KtorPeerLinksTest.kt
@@ -223,6 +223,17 @@
         }
     }
 
+    /** Guards against memory that grows with the messages to a process that reads nothing. */
+    @Test
+    fun `a link whose process reads nothing is closed`(): Unit = Node(PeerLinkSettings()).use { node ->
+        rawPeer(node).use {
+            node.sink.next<Event.PeerIntroduced>()
+            val large = PeerMessage.ConfigurationDelivered(Configuration(), listOf("x".repeat(500_000)))
+            repeat(60) { node.send(stranger.node, large) }
+            expectThat(node.sink.next<Event.PeerUnreachable>().peer).isEqualTo(stranger.node)
+        }
+    }
+
     /** Guards against a loss report when two processes only stop using their link. */
     @Test
     fun `an unused link is closed without a report and opened again`() {
--- a/runtime/src/test/kotlin/dev/hibiscusreach/runtime/platform/HttpPlatformClientTest.kt
+++ b/runtime/src/test/kotlin/dev/hibiscusreach/runtime/platform/HttpPlatformClientTest.kt
@@ -66,13 +66,16 @@
     /** Guards against a put that runs twice, and whose second run reports a conflict that the first one caused. */
     @Test
     fun `a put that may have taken effect is not sent again`() {
-        val breaking = ScriptedServer { _, _ -> null }
         val working = ScriptedServer { _, _ -> response(200, """{"version":4}""") }
-        expectThat(call(put, breaking.endpoint, working.endpoint)).isA<PlatformAnswer.Failed>()
-        expectThat(breaking.requests.size).isEqualTo(1)
-        expectThat(working.requests.size).isEqualTo(0)
+        for (faulty in listOf(null, response(503))) {
+            ScriptedServer { _, _ -> faulty }.use { first ->
+                expectThat(call(put, first.endpoint, working.endpoint)).isA<PlatformAnswer.Failed>()
+                expectThat(first.requests.size).isEqualTo(1)
+                expectThat(working.requests.size).isEqualTo(0)
+            }
+        }
         expectThat(call(put, ScriptedServer.closedEndpoint(), working.endpoint)).isA<PlatformAnswer.Stored>()
-        listOf(breaking, working).forEach(ScriptedServer::close)
+        working.close()
     }
 
     /** Guards against more calls at a platform that limits their rate. */
