--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/ProxyRuntime.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/ProxyRuntime.kt
@@ -7,11 +7,12 @@
 import dev.hibiscusreach.core.model.MonotonicTime
 import dev.hibiscusreach.core.model.NodeIdentity
 import dev.hibiscusreach.core.reducer.ProxyState
+import dev.hibiscusreach.runtime.adapter.AdapterFactory
 import dev.hibiscusreach.runtime.adapter.Adapters
-import dev.hibiscusreach.runtime.backend.HttpServerControl
-import dev.hibiscusreach.runtime.backend.HttpServerSessions
+import dev.hibiscusreach.runtime.adapter.HttpAdapterFactory
 import dev.hibiscusreach.runtime.caller.CallerEndpoint
 import dev.hibiscusreach.runtime.caller.TokenSigner
+import dev.hibiscusreach.runtime.http.BindException
 import dev.hibiscusreach.runtime.loop.EventLoop
 import dev.hibiscusreach.runtime.loop.LoopListener
 import dev.hibiscusreach.runtime.loop.ProxyClock
@@ -26,7 +27,6 @@
 import dev.hibiscusreach.runtime.peer.KtorPeerLinks
 import dev.hibiscusreach.runtime.peer.PeerLinkSettings
 import dev.hibiscusreach.runtime.peer.PeerListener
-import dev.hibiscusreach.runtime.platform.HttpPlatformClient
 import dev.hibiscusreach.runtime.settings.DaemonSettings
 import dev.hibiscusreach.runtime.telemetry.Metrics
 import dev.hibiscusreach.runtime.telemetry.ProxyTelemetry
@@ -40,7 +40,8 @@
 class ProxyRuntime private constructor(
     private val settings: DaemonSettings,
     private val clock: ProxyClock,
-    listener: PeerListener,
+    factory: AdapterFactory,
+    private val listener: PeerListener,
 ) : OperationsView,
     AutoCloseable {
     private val self = NodeIdentity(listener.endpoint, clock.wallClockMillis(), Random.nextInt())
@@ -49,19 +50,15 @@
     private val group = MultiThreadIoEventLoopGroup(NETWORK_THREADS, NioIoHandler.newFactory())
     private val callers = CallerEndpoint(loop, TokenSigner(settings.tokenKey.bytes), settings.callerLimits, metrics)
     private val operations = OperationsEndpoint(view = this)
-    private val sessions = HttpServerSessions(group, loop)
-    private val control = HttpServerControl(group, loop)
-    private val platform = HttpPlatformClient(group, settings.addresses.platform, loop)
+    private val sessions = factory.sessions(group, loop)
+    private val control = factory.control(group, loop)
+    private val platform = factory.platform(group, settings.addresses.platform, loop)
     private val peers = KtorPeerLinks(listener, loop, PeerLinkSettings(), metrics, ::ownUpdate)
     private val configurationClock = ConfigurationClock()
 
     /** Where the process listens, with actual ports. */
-    val addresses: DumpedAddresses =
-        DumpedAddresses(
-            caller = callers.bind(group, settings.addresses.caller),
-            operations = operations.bind(group, settings.addresses.operations),
-            peer = listener.endpoint,
-        )
+    lateinit var addresses: DumpedAddresses
+        private set
 
     override val isLive: Boolean get() = loop.isAlive
 
@@ -87,6 +84,15 @@
         group.shutdownGracefully(0, SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS).awaitUninterruptibly(SHUTDOWN_MILLIS)
     }
 
+    private fun bind() {
+        addresses =
+            DumpedAddresses(
+                caller = callers.bind(group, settings.addresses.caller),
+                operations = operations.bind(group, settings.addresses.operations),
+                peer = listener.endpoint,
+            )
+    }
+
     private fun start() {
         registerGauges()
         val adapters = Adapters(callers, sessions, control, platform, peers, ProxyTelemetry(metrics))
@@ -143,8 +149,21 @@
         private const val SHUTDOWN_MILLIS = 1_000L
         private val json = Json { encodeDefaults = true }
 
-        /** Starts a proxy. Throws [dev.hibiscusreach.runtime.http.BindException] if an address cannot be used. */
-        fun start(settings: DaemonSettings, clock: ProxyClock = SystemClock()): ProxyRuntime =
-            ProxyRuntime(settings, clock, PeerListener.bind(settings.addresses.peer)).also { it.start() }
+        /** Starts a proxy. Throws a [BindException] if an address cannot be used. */
+        fun start(
+            settings: DaemonSettings,
+            clock: ProxyClock = SystemClock(),
+            factory: AdapterFactory = HttpAdapterFactory,
+        ): ProxyRuntime {
+            val runtime = ProxyRuntime(settings, clock, factory, PeerListener.bind(settings.addresses.peer))
+            try {
+                runtime.bind()
+            } catch (failure: BindException) {
+                runtime.close()
+                throw failure
+            }
+            runtime.start()
+            return runtime
+        }
     }
 }
--- a/runtime/src/test/kotlin/dev/hibiscusreach/runtime/caller/CallerEndpointTest.kt
+++ b/runtime/src/test/kotlin/dev/hibiscusreach/runtime/caller/CallerEndpointTest.kt
@@ -16,6 +16,8 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
+import strikt.assertions.startsWith
+import kotlin.random.Random
 
 class CallerEndpointTest {
     private class Fixture(val endpoint: CallerEndpoint, val sink: RecordingSink, val address: Endpoint) {
@@ -73,6 +75,21 @@
             }
         }
 
+    /** Guards against an interim response that a caller takes for the answer to an earlier request. */
+    @Test
+    fun `a caller that waits before it sends a body is asked to go on`() = serve {
+        caller().use { caller ->
+            val head = "POST $STATEMENTS HTTP/1.1\r\n$CALLER\r\nExpect: 100-continue\r\n"
+            caller.write("${head}Content-Length: ${READ.length}\r\n\r\n")
+            expectThat(caller.read().status).isEqualTo(100)
+            caller.write(READ)
+            val arrival = arrival()
+            caller.write("${head}Content-Length: ${READ.length}\r\n\r\n$READ")
+            listOf(arrival, arrival()).forEach(::complete)
+            expectThat(List(2) { caller.read().status }).isEqualTo(listOf(200, 200))
+        }
+    }
+
     /** Guards against requests that hold memory while they arrive slowly. */
     @Test
     fun `a slow request is refused as incomplete`() = serve(CallerLimits(receiveTimeout = 150.milliseconds)) {
@@ -155,6 +172,9 @@
         val cases =
             listOf<RawCaller.() -> Unit>(
                 { write("\u0001\u0002 nonsense\r\n\r\n") },
+                { write("POST $STATEMENTS HTTP/1.1\r\nContent-Length: abc\r\n\r\n") },
+                { write("POST $STATEMENTS HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n{}") },
+                { write("POST $STATEMENTS HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n") },
                 { post(STATEMENTS, "{", *withCaller) },
                 { post(STATEMENTS, """{"statements":[],"access":"read"}""", *withCaller) },
                 { post(STATEMENTS, READ.replace("access", "acces"), *withCaller) },
@@ -172,6 +192,27 @@
         expectThat(sink.events.poll()).isNull()
     }
 
+    /** Guards against input that breaks the endpoint for other callers, or that gets no answer. */
+    @Test
+    fun `random input is answered and leaves the endpoint working`() = serve {
+        sink.listener = { if (it is Event.RequestArrived) complete(it) }
+        val random = Random(11)
+        val request = "POST $STATEMENTS HTTP/1.1\r\n$CALLER\r\nContent-Length: ${READ.length}\r\n\r\n$READ"
+        repeat(200) {
+            caller().use { caller ->
+                val bytes = request.toCharArray()
+                repeat(1 + random.nextInt(4)) { bytes[random.nextInt(bytes.size)] = random.nextInt(1, 127).toChar() }
+                caller.write(String(bytes))
+                caller.endOutput()
+                expectThat(caller.readAll()).startsWith("HTTP/1.1 ")
+            }
+        }
+        caller().use { caller ->
+            caller.read("works")
+            expectThat(caller.read().body).contains("\"requestId\":\"works\"")
+        }
+    }
+
     /** Guards against forged tokens that reach the reducer. */
     @Test
     fun `a forged token is refused`() = serve {
