--- a/standins/src/main/kotlin/dev/hibiscusreach/standins/command/Main.kt
+++ b/standins/src/main/kotlin/dev/hibiscusreach/standins/command/Main.kt
@@ -33,6 +33,7 @@
         CallCommand::class,
         TransactionCommand::class,
         DriveCommand::class,
+        IdleCommand::class,
     ],
 )
 internal class StandinsCommand
--- a/standins/src/main/kotlin/dev/hibiscusreach/standins/driver/DriveReport.kt
+++ b/standins/src/main/kotlin/dev/hibiscusreach/standins/driver/DriveReport.kt
@@ -10,7 +10,7 @@
     fun lines(): List<String> =
         listOf(counts(OperationKind.READ), counts(OperationKind.WRITE)) +
             listOfNotNull(latency(OperationKind.READ), latency(OperationKind.WRITE)) +
-            listOfNotNull(servers(), failoverGapMillis()?.let { "failover gap: $it ms" }) +
+            listOfNotNull(throughput(), servers(), failoverGapMillis()?.let { "failover gap: $it ms" }) +
             check()
 
     /** The longest time without an acknowledged write between the first and the last one; null without two. */
@@ -42,6 +42,13 @@
         return "${kind.label} latency: $figures"
     }
 
+    private fun throughput(): String? {
+        val completed = records.filter { it.outcome == "ok" }
+        if (completed.isEmpty()) return null
+        val nanos = completed.maxOf { it.completedNanos } - records.minOf { it.invokedNanos }
+        return "throughput: %.0f operations/s".format(completed.size * NANOS_PER_SECOND / nanos)
+    }
+
     private fun servers(): String? {
         val servers = completed(OperationKind.READ).mapNotNull { it.server }.groupingBy { it }.eachCount().toSortedMap()
         if (servers.isEmpty()) return null
@@ -64,6 +71,7 @@
         const val NINETY_NINTH = 99.0
         const val MAXIMUM = 100.0
         const val NANOS_PER_MILLI = 1_000_000L
+        const val NANOS_PER_SECOND = 1e9
         const val MAXIMUM_VIOLATIONS = 20
     }
 }
