--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/Connecting.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/Connecting.kt
@@ -53,7 +53,7 @@
     val free = store(request.copy(phase = RequestPhase.Arrived, avoidedServers = request.avoidedServers + phase.server))
     val atPrimary = phase.server == group(request.database).primary
     when {
-        kind == ErrorKind.DRAINING -> route(keep(request.copy(phase = RequestPhase.Arrived)))
+        kind == ErrorKind.DRAINING -> route(store(request.copy(phase = RequestPhase.Arrived)))
 
         request.work !is Work.Read && !atPrimary -> route(free)
 
