Route again when a peer's configuration is behind

A rolling restart refused 2 requests as no-configuration: a ready proxy forwarded them to a home that had just started and had no configuration yet. The forwarding proxy has checked database and caller itself, so such a refusal says something about the peer only.

--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/Forwarding.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/Forwarding.kt
@@ -19,6 +19,15 @@
 /** Refusals that hold for all attempts under the identifier; a cancellation is reported only once it is durable. */
 private val SETTLING_KINDS = setOf(ErrorKind.REQUEST_CANCELLED, ErrorKind.REQUEST_IDENTIFIER_REUSED)
 
+/** Refusals that say something about the peer and not about the request, which this process has checked itself. */
+private val PEER_KINDS =
+    setOf(
+        ErrorKind.DRAINING,
+        ErrorKind.NO_CONFIGURATION,
+        ErrorKind.UNKNOWN_DATABASE,
+        ErrorKind.UNKNOWN_CALLER,
+    )
+
 private const val PEER = "peer"
 
 /** Forwards [request] to [peer]. */
@@ -39,7 +48,7 @@
         else -> request.request
     }
 
-/** Relays a peer's answer, or routes the request again if the peer is draining. */
+/** Relays a peer's answer, or routes the request again if the peer drains or its configuration is behind. */
 internal fun StepBuilder.answeredByPeer(from: NodeIdentity, message: PeerMessage.ForwardedAnswer) {
     val request = slice.index.forwards[message.arrival]?.let { slice.pending[it] }
     val phase = request?.phase
@@ -56,7 +65,7 @@
     when {
         answer !is CallerAnswer.Refused -> completedByPeer(free, answer)
 
-        answer.kind == ErrorKind.DRAINING -> {
+        answer.kind in PEER_KINDS -> {
             val elsewhere = free.copy(avoidedPeers = free.avoidedPeers + from)
             if (work is Work.InTransaction) ownerLost(elsewhere, work) else route(store(elsewhere))
         }
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/fleet/ConfigurationInForceTest.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/fleet/ConfigurationInForceTest.kt
@@ -89,7 +89,8 @@
     private fun storedGeneration(): Long? {
         var generation: Long? = null
         fleet.platform.call(PlatformCall.Get(ConfigurationCodec.ROOT_KEY)) { answer ->
-            generation = (answer as? PlatformAnswer.Found)?.let { ConfigurationCodec.decodeRoot(it.value).get()?.generation }
+            val root = (answer as? PlatformAnswer.Found)?.let { ConfigurationCodec.decodeRoot(it.value) }
+            generation = root?.get()?.generation
         }
         fleet.schedule.advance(millis = 1)
         return generation
