--- a/core/src/main/kotlin/dev/hibiscusreach/core/membership/Announcement.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/membership/Announcement.kt
@@ -18,6 +18,14 @@
             spread(state.withMembership { copy(draining = true) }).withSignals(Signal.MembershipChanged)
         }
 
+    /** Sends urgent updates of others on at once, unless that was done several times in this period. */
+    fun passOn(state: ProxyState): Step =
+        if (state.membership.protocol.passedOn < MAXIMUM_PASSED_ON) {
+            spread(state.withProtocol { copy(passedOn = passedOn + 1) })
+        } else {
+            Step(state)
+        }
+
     /** Sends the latest updates to random peers at once. */
     fun spread(state: ProxyState): Step =
         state.membership
@@ -25,4 +33,9 @@
             .shuffled(context.randomFor("announcement"))
             .take(state.settings.membership.announcementFanOut)
             .fold(Step(state)) { step, peer -> step.then { pings.notify(it, peer.node) } }
+
+    private companion object {
+        /** Bounds the messages of a period while many peers are suspected wrongly, such as on a lossy network. */
+        const val MAXIMUM_PASSED_ON = 4
+    }
 }
--- a/core/src/main/kotlin/dev/hibiscusreach/core/membership/GossipExchange.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/membership/GossipExchange.kt
@@ -62,18 +62,23 @@
 
     private fun learn(state: ProxyState, received: List<PeerUpdate>, spread: Boolean): Step {
         val learned = updates.apply(state, received, spread)
-        val isUrgent = isRefuting(state, learned.state) || received.any { learnedOfDraining(state, learned.state, it) }
-        return if (isUrgent) learned.then { announcement.spread(it) } else learned
+        val isUrgent = received.any { isUrgent(state.membership, learned.state.membership, it) }
+        return when {
+            isRefuting(state, learned.state) -> learned.then { announcement.spread(it) }
+            isUrgent -> learned.then { announcement.passOn(it) }
+            else -> learned
+        }
     }
 
     private fun isRefuting(before: ProxyState, after: ProxyState): Boolean =
         after.membership.refutation > before.membership.refutation
 
-    // Every peer that learns of a draining one passes it on at once, so that new work stops within a few round trips.
-    private fun learnedOfDraining(before: ProxyState, after: ProxyState, update: PeerUpdate): Boolean {
-        val endpoint = update.node.peerEndpoint
-        return update.condition == PeerCondition.DRAINING &&
-            before.membership.peers[endpoint]?.draining == false &&
-            after.membership.peers[endpoint]?.draining == true
+    // New work for a draining peer must stop within a few round trips, and a refutation must overtake the suspicion.
+    private fun isUrgent(before: MembershipState, after: MembershipState, update: PeerUpdate): Boolean {
+        val earlier = before.peers[update.node.peerEndpoint]
+        val later = after.peers[update.node.peerEndpoint]
+        val startsDraining = earlier?.draining == false && later?.draining == true
+        val isRefuted = earlier?.condition == PeerCondition.SUSPECTED && later?.condition == PeerCondition.ALIVE
+        return startsDraining || isRefuted
     }
 }
--- a/core/src/main/kotlin/dev/hibiscusreach/core/membership/MembershipPart.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/membership/MembershipPart.kt
@@ -56,7 +56,7 @@
     private fun periodFired(state: ProxyState): Step {
         val count = state.membership.protocol.periods + 1
         val isViewDue = count in FIRST_VIEW_PERIODS || count % VIEW_PERIODS == 0L
-        val counted = state.withProtocol { copy(periods = count, viewNeeded = viewNeeded || isViewDue) }
+        val counted = state.withProtocol { copy(periods = count, passedOn = 0, viewNeeded = viewNeeded || isViewDue) }
         val isAlone = count % SEED_PERIODS == 0L && state.membership.livePeers().isEmpty()
         return schedulePeriod(counted)
             .then { detector.probeNext(it) }
--- a/core/src/main/kotlin/dev/hibiscusreach/core/membership/ProtocolState.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/membership/ProtocolState.kt
@@ -43,6 +43,8 @@
     /** When the period timer is due; null before the start. */
     val periodDue: MonotonicTime? = null,
     val periods: Long = 0,
+    /** How often urgent updates of others were passed on in this period. */
+    val passedOn: Int = 0,
     /** Whether this process should ask a peer for its whole view. */
     val viewNeeded: Boolean = true,
     val hostListCall: PlatformCallNumber? = null,
--- a/core/src/test/kotlin/dev/hibiscusreach/core/configuration/RandomFailureTest.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/configuration/RandomFailureTest.kt
@@ -46,7 +46,7 @@
         val domain = domains.random(random)
         val other = (domains + "platform").random(random)
         when (random.nextInt(ACTIONS)) {
-            0 -> fleet.pause(nodes.getValue(number), seconds = random.nextInt(1, 6))
+            0 -> fleet.pause(nodes.getValue(number), millis = random.nextInt(500, 6_000))
             1 -> start(fleet, number)
             2 -> fleet.isCut = { from, to -> from != to && (from == domain && to == other || to == domain) }
             3 -> fleet.isCut = { _, _ -> false }
--- a/core/src/test/kotlin/dev/hibiscusreach/core/membership/MembershipPartTest.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/membership/MembershipPartTest.kt
@@ -107,7 +107,7 @@
     fun `a paused process notices its pause and is taken for alive again`() {
         val nodes = fleet.startAll(count = 8)
         val paused = nodes[4]
-        fleet.pause(paused, seconds = 10)
+        fleet.pause(paused, millis = 10_000)
         fleet.run(seconds = 9)
         expectThat(nodes - paused).all { get { isLive(paused) }.isFalse() }
         nodes.forEach { it.signals.clear() }
@@ -123,6 +123,20 @@
         }
     }
 
+    // Guards against processes that are taken for gone because their refutation spreads slower than the suspicion.
+    @Test
+    fun `processes that pause for less than the suspicion time are not taken for gone`() {
+        val nodes = fleet.startAll(count = 60)
+        nodes.forEach { it.signals.clear() }
+
+        repeat(40) { second ->
+            fleet.pause(nodes[second], millis = 1_800)
+            fleet.run(seconds = 1)
+        }
+
+        expectThat(nodes).all { get { signals.filterIsInstance<Signal.PeerGone>() }.isEmpty() }
+    }
+
     // Guards against halves of the fleet that stay apart after the network is whole again.
     @Test
     fun `failure domains that were separated find each other again without the platform`() {
--- a/core/src/test/kotlin/dev/hibiscusreach/core/membership/TestFleet.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/membership/TestFleet.kt
@@ -54,8 +54,8 @@
     fun kill(node: TestNode) = nodes.remove(node.identity.peerEndpoint)
 
     /** Delays everything that happens to [node]. */
-    fun pause(node: TestNode, seconds: Int) {
-        node.pausedUntil = now + seconds * MILLIS_PER_SECOND
+    fun pause(node: TestNode, millis: Int) {
+        node.pausedUntil = now + millis
     }
 
     fun run(seconds: Int) = runMillis(seconds * MILLIS_PER_SECOND)
