--- a/core/src/main/kotlin/dev/hibiscusreach/core/configuration/StoreWatch.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/configuration/StoreWatch.kt
@@ -94,20 +94,20 @@
     ): Step {
         val read = state.withStore { copy(rootVersion = version, generation = root.generation, failures = 0) }
         val inEffect = state.configuration.index.generation
-        val isNews = version != state.configuration.store.rootVersion
+        val hasNewVersion = version != state.configuration.store.rootVersion
         return when {
             root.generation > inEffect -> follow(chunkReading.start(read, root))
             root.generation < inEffect -> follow(writeBack.start(read, version))
             StoreConflict.exists(state, root) ->
-                continueWatch(read, phase, isNews).withEffects(StoreConflict.report(root))
-            else -> continueWatch(read, phase, isNews)
+                continueWatch(read, phase, hasNewVersion).withEffects(StoreConflict.report(root))
+            else -> continueWatch(read, phase, hasNewVersion)
         }
     }
 
     // A store that answers a long poll at once, for whatever reason, is not asked more than once a second.
-    private fun continueWatch(state: ProxyState, phase: StorePhase.ReadingRoot, isNews: Boolean = false): Step {
-        val isHasty = phase.isWatch && !isNews && context.now - phase.startedAt < SHORTEST_WATCH
-        return if (isHasty) pause.schedule(state, SHORTEST_WATCH) else resume(state.idle())
+    private fun continueWatch(state: ProxyState, phase: StorePhase.ReadingRoot, hasNewVersion: Boolean = false): Step {
+        val endedEarly = phase.isWatch && !hasNewVersion && context.now - phase.startedAt < SHORTEST_WATCH
+        return if (endedEarly) pause.schedule(state, SHORTEST_WATCH) else resume(state.idle())
     }
 
     private fun follow(progress: StoreProgress): Step =
--- a/core/src/main/kotlin/dev/hibiscusreach/core/membership/Peer.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/membership/Peer.kt
@@ -29,7 +29,7 @@
         }
 
     // Any run follows one that is gone, because the clock of a restarted host can be behind. A run that is gone never
-    // replaces another one, so that the news of it cannot displace the run that followed.
+    // replaces another one, so that a late update about it cannot displace the run that followed.
     private fun isFollowedBy(update: PeerUpdate): Boolean =
         when (update.condition) {
             PeerCondition.GONE -> false
--- a/core/src/main/kotlin/dev/hibiscusreach/core/membership/Piggyback.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/membership/Piggyback.kt
@@ -26,7 +26,7 @@
     /** Messages that carry an update: a multiple of the logarithm of [fleetSize], after which all have it. */
     fun repetitions(fleetSize: Int): Int = REPETITION_FACTOR * (Int.SIZE_BITS - fleetSize.countLeadingZeroBits() + 1)
 
-    /** The next updates for a message to [receiver], the sender's own and what it thinks of the receiver first. */
+    /** The next updates for a message to [receiver], starting with those about the sender and the receiver. */
     fun take(state: ProxyState, receiver: NodeIdentity, random: Random): PiggybackedUpdates {
         val membership = state.membership
         val pending = membership.protocol.pending
@@ -38,7 +38,7 @@
                 if (left > 0) map.put(endpoint, left) else map.remove(endpoint)
             }
         val queued = chosen.mapNotNull { membership.peers[it]?.toUpdate() }
-        val updates = listOf(membership.selfUpdate()) + opinion(membership, receiver) + queued
+        val updates = listOf(membership.selfUpdate()) + receiverUpdate(membership, receiver) + queued
         return PiggybackedUpdates(
             state.withMembership { copy(protocol = protocol.copy(pending = remaining)) },
             fill(membership, updates, random).distinct(),
@@ -49,11 +49,11 @@
     fun view(state: ProxyState, receiver: NodeIdentity): PiggybackedUpdates {
         val membership = state.membership
         val live = membership.livePeers().take(VIEW_LIMIT).map { it.toUpdate() }
-        return PiggybackedUpdates(state, listOf(membership.selfUpdate()) + opinion(membership, receiver) + live)
+        return PiggybackedUpdates(state, listOf(membership.selfUpdate()) + receiverUpdate(membership, receiver) + live)
     }
 
     // A suspected receiver learns of it with the first message that reaches it, and can refute it at once.
-    private fun opinion(membership: MembershipState, receiver: NodeIdentity): List<PeerUpdate> =
+    private fun receiverUpdate(membership: MembershipState, receiver: NodeIdentity): List<PeerUpdate> =
         listOfNotNull(membership.peers[receiver.peerEndpoint])
             .filter { it.node == receiver && it.condition != PeerCondition.ALIVE }
             .map { it.toUpdate() }
