Compare failover tests with the term before the failure

The tests compared with the term of a fake server, which changes when the server is fenced, so that an unjustified promotion went unnoticed. They now keep the term from before the failure. A home that reads the record does not claim any more if the group stopped needing a primary in the meantime.

--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/TermClaim.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/TermClaim.kt
@@ -46,6 +46,7 @@
             noteTerm(known.name, record.term)
             pause(known.name)
         }
+        !known.needsPrimary(now) -> pause(known.name)
         else -> claim(known, maxOf(record.term, known.highestTerm).next(), version)
     }
 }
--- a/core/src/test/kotlin/dev/hibiscusreach/core/group/DurabilityTest.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/group/DurabilityTest.kt
@@ -23,6 +23,7 @@
     private val simulation = GroupSimulation().apply { awaitPrimary() }
     private val database = simulation.database
     private val primary = simulation.primary
+    private val primaryTerm = primary.term
     private val node = simulation.nodes.first()
 
     // Guards against a replica that is far behind and delays every acknowledgement.
@@ -70,7 +71,7 @@
         val diverged = primary.applied
         simulation.run(50)
         primary.up = false
-        simulation.awaitPrimary(above = primary.term)
+        simulation.awaitPrimary(above = primaryTerm)
         simulation.servers.forEach { it.stalled = false }
         val survivor = simulation.nodes.first { it.domain != primary.domain }
         survivor.write(simulation.primary)
@@ -89,7 +90,7 @@
         simulation.isolate(primary.domain)
         val diverged = primary.write()
         val others = simulation.nodes.filter { it.domain != primary.domain }
-        simulation.runUntil { others.all { it.groups.term(database) > primary.term } }
+        simulation.runUntil { others.all { it.groups.term(database) > primaryTerm } }
         others.first().write(simulation.primary)
         simulation.cuts.clear()
         simulation.run(2_000)
--- a/core/src/test/kotlin/dev/hibiscusreach/core/group/FailoverTest.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/group/FailoverTest.kt
@@ -40,16 +40,17 @@
         simulation.awaitPrimary()
         val node = simulation.nodes.first()
         val old = simulation.primary
+        val oldTerm = old.term
         val attempt = node.write(old)
         val position = old.applied
         simulation.run(50)
         expectThat(node.signals).contains(Signal.DurabilityReached(attempt))
 
         old.up = false
-        expectThat(simulation.awaitPrimary(above = old.term)).isLessThan(1_500)
+        expectThat(simulation.awaitPrimary(above = oldTerm)).isLessThan(1_500)
         expectThat(simulation.primary.name).isNotEqualTo(old.name)
         expectThat(simulation.primary.log).contains(position)
-        expectThat(simulation.primary.term).isGreaterThan(old.term)
+        expectThat(simulation.primary.term).isGreaterThan(oldTerm)
     }
 
     // Guards against an isolated primary whose writes are acknowledged after its replacement.
@@ -59,12 +60,13 @@
         simulation.awaitPrimary()
         simulation.run(1_000)
         val old = simulation.primary
+        val oldTerm = old.term
         val alone = simulation.nodes.first { it.domain == old.domain }
         simulation.isolate(old.domain)
         val attempt = alone.write(old)
         val others = simulation.nodes - alone
 
-        val gap = simulation.runUntil { others.all { it.groups.term(simulation.database) > old.term } }
+        val gap = simulation.runUntil { others.all { it.groups.term(simulation.database) > oldTerm } }
         expectThat(gap).isLessThan(2_500)
         simulation.run(2_000)
         expectThat(alone.signals).contains(Signal.DurabilityNotReached(attempt))
--- a/core/src/test/kotlin/dev/hibiscusreach/core/group/FakePlatform.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/group/FakePlatform.kt
@@ -8,6 +8,7 @@
 internal class FakePlatform {
     var down = false
     var putAnswersToLose = 0
+    var delay = 1L
     private val objects = mutableMapOf<String, PlatformAnswer.Found>()
 
     fun record(key: String): GroupRecord? = objects[key]?.let { GroupRecords.decode(it.value) }
--- a/core/src/test/kotlin/dev/hibiscusreach/core/group/GroupSimulation.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/group/GroupSimulation.kt
@@ -147,6 +147,7 @@
         private var attempts = 0L
 
         val groups: GroupsState get() = state.groups
+        val failover: FailoverState? get() = groups.databases[database]?.failover
 
         fun start() {
             val peers = nodes.filter { it != this }.map { Peer(it.identity, it.domain) }
@@ -173,8 +174,6 @@
             transition.effects.forEach(::perform)
         }
 
-        fun isFencing(): Boolean = groups.databases[database]?.failover is FailoverState.Fencing
-
         fun freeze() {
             frozen = true
         }
@@ -210,9 +209,9 @@
                 is Effect.SendControlCommand -> control(effect)
                 is Effect.SendPeerMessage -> message(effect)
                 is Effect.CallPlatform ->
-                    schedule(LATENCY) {
+                    schedule(platform.delay) {
                         val answer = platform.answer(effect.request)
-                        schedule(LATENCY) { receive(Event.PlatformAnswered(effect.call, answer)) }
+                        schedule(platform.delay) { receive(Event.PlatformAnswered(effect.call, answer)) }
                     }
                 else -> Unit
             }
--- a/core/src/test/kotlin/dev/hibiscusreach/core/group/PlatformFailureTest.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/group/PlatformFailureTest.kt
@@ -13,6 +13,7 @@
 class PlatformFailureTest {
     private val simulation = GroupSimulation().apply { awaitPrimary() }
     private val old = simulation.primary
+    private val oldTerm = old.term
     private val node = simulation.nodes.first()
 
     // Guards against a claim that took effect but is taken for lost, which would block its own term.
@@ -22,8 +23,8 @@
         simulation.platform.putAnswersToLose = 1
         old.up = false
 
-        expectThat(simulation.awaitPrimary(above = old.term)).isLessThan(1_500)
-        expectThat(simulation.primary.term).isEqualTo(old.term.next())
+        expectThat(simulation.awaitPrimary(above = oldTerm)).isLessThan(1_500)
+        expectThat(simulation.primary.term).isEqualTo(oldTerm.next())
     }
 
     // Guards against a record that stays without a primary.
@@ -31,9 +32,9 @@
     fun `the promotion is recorded although answers are lost`() {
         simulation.run(100)
         old.up = false
-        simulation.runUntil { simulation.platform.record("group/jobs")?.term != old.term }
+        simulation.runUntil { simulation.platform.record("group/jobs")?.term != oldTerm }
         simulation.platform.putAnswersToLose = 2
-        simulation.awaitPrimary(above = old.term)
+        simulation.awaitPrimary(above = oldTerm)
         simulation.run(3_000)
 
         expectThat(simulation.platform.record("group/jobs")?.primary).isEqualTo(simulation.primary.name)
@@ -45,11 +46,11 @@
         simulation.platform.down = true
         old.up = false
         simulation.run(10_000)
-        expectThat(simulation.servers.maxOf { it.term }).isEqualTo(old.term)
+        expectThat(simulation.servers.maxOf { it.term }).isEqualTo(oldTerm)
 
         simulation.platform.down = false
-        simulation.awaitPrimary(above = old.term)
-        expectThat(simulation.primary.term).isGreaterThan(old.term)
+        simulation.awaitPrimary(above = oldTerm)
+        expectThat(simulation.primary.term).isGreaterThan(oldTerm)
     }
 
     // Guards against an outage of the platform that stops a group whose primary works.
--- a/core/src/test/kotlin/dev/hibiscusreach/core/group/ProposerTest.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/group/ProposerTest.kt
@@ -14,9 +14,10 @@
 class ProposerTest {
     private val simulation = GroupSimulation().apply { awaitPrimary() }
     private val old = simulation.primary
+    private val oldTerm = old.term
     private val nodes = simulation.nodes
 
-    private fun proposer() = nodes.first { it.isFencing() }
+    private fun proposer() = nodes.first { it.failover is FailoverState.Fencing }
 
     // Guards against a failover caused by one slow link, which would interrupt all other domains.
     @Test
@@ -27,17 +28,17 @@
 
         val views = slow.groups.servers(simulation.database, MonotonicTime(simulation.now))
         expectThat(views.filter { it.reachable }).hasSize(2)
-        expectThat(nodes.map { it.groups.term(simulation.database) }).all { isEqualTo(old.term) }
-        expectThat(simulation.platform.record("group/jobs")?.term).isEqualTo(old.term)
+        expectThat(nodes.map { it.groups.term(simulation.database) }).all { isEqualTo(oldTerm) }
+        expectThat(simulation.platform.record("group/jobs")?.term).isEqualTo(oldTerm)
     }
 
     // Guards against a proposer that goes on with an outdated term after a pause.
     @Test
     fun `a proposer frozen before the promotion resumes without harm`() {
         old.up = false
-        simulation.runUntil { nodes.any { it.isFencing() } }
+        simulation.runUntil { nodes.any { it.failover is FailoverState.Fencing } }
         val frozen = proposer().apply { freeze() }
-        simulation.awaitPrimary(above = old.term)
+        simulation.awaitPrimary(above = oldTerm)
         val replacement = simulation.primary
         simulation.run(3_000)
         frozen.resume()
@@ -52,10 +53,10 @@
     @Test
     fun `a term abandoned by its proposer is passed over`() {
         old.up = false
-        simulation.runUntil { nodes.any { it.isFencing() } }
+        simulation.runUntil { nodes.any { it.failover is FailoverState.Fencing } }
         proposer().freeze()
 
-        expectThat(simulation.awaitPrimary(above = old.term)).isLessThan(6_000)
+        expectThat(simulation.awaitPrimary(above = oldTerm)).isLessThan(6_000)
         expectThat(simulation.primary.term).isEqualTo(Term(3))
     }
 
@@ -65,7 +66,7 @@
         val others = nodes.filter { it.domain != old.domain }.map { it.domain }
         simulation.mutedPeers += others.toSet()
         old.up = false
-        simulation.awaitPrimary(above = old.term)
+        simulation.awaitPrimary(above = oldTerm)
         simulation.run(5_000)
 
         val promotions = simulation.servers.flatMap { it.promotedIn }
@@ -77,26 +78,31 @@
     @Test
     fun `the loser of a claim goes on when the winner dies`() {
         simulation.mutedPeers += nodes.filter { it.domain != old.domain }.map { it.domain }.toSet()
+        simulation.platform.delay = 200
+        nodes.first { it.domain == old.domain }.freeze()
         old.up = false
-        simulation.runUntil { nodes.any { it.isFencing() } }
-        proposer().freeze()
+        simulation.runUntil { nodes.any { it.failover is FailoverState.Claiming } }
+        nodes.first { it.failover is FailoverState.Claiming }.freeze()
 
-        expectThat(simulation.awaitPrimary(above = old.term)).isLessThan(6_000)
+        expectThat(simulation.awaitPrimary(above = oldTerm)).isLessThan(8_000)
+        expectThat(simulation.primary.term).isEqualTo(Term(3))
     }
 
     // Guards against a promotion decided with what was known before this process was paused.
     @Test
     fun `a process that was paused probes before it suspects`() {
-        // The primary's answer comes later than those of the other servers and monitors.
+        // The last answers of the primary arrive before the pause, and the first ones after it later than the others.
+        simulation.isolate(old.domain)
+        simulation.run(500)
+        simulation.cuts.clear()
         nodes.forEach { simulation.slowness[setOf(it.domain, old.domain)] = 200 }
-        simulation.run(2_000)
         nodes.forEach { it.freeze() }
         simulation.run(30_000)
         nodes.forEach { it.resume() }
         simulation.run(3_000)
 
-        expectThat(nodes.map { it.groups.term(simulation.database) }).all { isEqualTo(old.term) }
-        expectThat(simulation.platform.record("group/jobs")?.term).isEqualTo(old.term)
+        expectThat(nodes.map { it.groups.term(simulation.database) }).all { isEqualTo(oldTerm) }
+        expectThat(simulation.platform.record("group/jobs")?.term).isEqualTo(oldTerm)
     }
 
     // Guards against new work on a primary whose host is about to disappear.
@@ -105,7 +111,7 @@
         simulation.run(2_000)
         old.leaving = true
 
-        expectThat(simulation.awaitPrimary(above = old.term)).isLessThan(2_000)
+        expectThat(simulation.awaitPrimary(above = oldTerm)).isLessThan(2_000)
         expectThat(simulation.primary).isNotEqualTo(old)
         simulation.run(5_000)
         expectThat(simulation.primary.term).isEqualTo(Term(2))
