--- a/core/src/test/kotlin/dev/hibiscusreach/core/group/FailoverTest.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/group/FailoverTest.kt
@@ -1,16 +1,30 @@
 package dev.hibiscusreach.core.group
 
+import dev.hibiscusreach.core.event.ServerRole
 import dev.hibiscusreach.core.event.Signal
+import dev.hibiscusreach.core.model.DatabaseName
+import dev.hibiscusreach.core.model.MonotonicTime
 import dev.hibiscusreach.core.model.Term
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.all
 import strikt.assertions.contains
+import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
 import strikt.assertions.isNotEqualTo
+import strikt.assertions.isNull
 
 class FailoverTest {
+    private val simulation = GroupSimulation().apply { awaitPrimary() }
+    private val old = simulation.primary
+    private val oldTerm = old.term
+    private val nodes = simulation.nodes
+    private val node = nodes.first()
+
+    private fun proposer() = nodes.first { it.failover is FailoverState.Fencing }
+
     // Guards against a new group that waits for a primary that it never had.
     @Test
     fun `a new group gets its first primary within a second`() {
@@ -36,11 +50,6 @@
     // Guards against a dead primary that stays, and against a gap much longer than the detection.
     @Test
     fun `a killed primary is replaced and the acknowledged write survives`() {
-        val simulation = GroupSimulation()
-        simulation.awaitPrimary()
-        val node = simulation.nodes.first()
-        val old = simulation.primary
-        val oldTerm = old.term
         val attempt = node.write(old)
         val position = old.applied
         simulation.run(50)
@@ -56,11 +65,7 @@
     // Guards against an isolated primary whose writes are acknowledged after its replacement.
     @Test
     fun `an isolated primary is replaced and its writes are not durable`() {
-        val simulation = GroupSimulation()
-        simulation.awaitPrimary()
         simulation.run(1_000)
-        val old = simulation.primary
-        val oldTerm = old.term
         val alone = simulation.nodes.first { it.domain == old.domain }
         simulation.isolate(old.domain)
         val attempt = alone.write(old)
@@ -72,4 +77,170 @@
         expectThat(alone.signals).contains(Signal.DurabilityNotReached(attempt))
         expectThat(alone.groups.term(simulation.database)).isEqualTo(Term(1))
     }
+
+    // Guards against a failover caused by one slow link, which would interrupt all other domains.
+    @Test
+    fun `slowness seen from one domain only replaces nobody`() {
+        val slow = nodes.first { it.domain != old.domain }
+        simulation.slowness[setOf(slow.domain, old.domain)] = 700
+        simulation.run(10_000)
+
+        val views = slow.groups.servers(simulation.database, MonotonicTime(simulation.now))
+        expectThat(views.filter { it.reachable }).hasSize(2)
+        expectThat(nodes.map { it.groups.term(simulation.database) }).all { isEqualTo(oldTerm) }
+        expectThat(simulation.platform.record("group/jobs")?.term).isEqualTo(oldTerm)
+    }
+
+    // Guards against a proposer that goes on with an outdated term after a pause.
+    @Test
+    fun `a proposer frozen before the promotion resumes without harm`() {
+        old.up = false
+        simulation.runUntil { nodes.any { it.failover is FailoverState.Fencing } }
+        val frozen = proposer().apply { freeze() }
+        simulation.awaitPrimary(above = oldTerm)
+        val replacement = simulation.primary
+        simulation.run(3_000)
+        frozen.resume()
+        simulation.run(3_000)
+
+        expectThat(simulation.primary).isEqualTo(replacement)
+        expectThat(nodes.map { it.groups.primary(simulation.database) }).all { isEqualTo(replacement.name) }
+        expectThat(simulation.servers.filter { it.up && it.role == ServerRole.PRIMARY }).hasSize(1)
+    }
+
+    // Guards against a term left claimed and fenced for good by a proposer that died.
+    @Test
+    fun `a term abandoned by its proposer is passed over`() {
+        old.up = false
+        simulation.runUntil { nodes.any { it.failover is FailoverState.Fencing } }
+        proposer().freeze()
+
+        expectThat(simulation.awaitPrimary(above = oldTerm)).isLessThan(6_000)
+        expectThat(simulation.primary.term).isEqualTo(Term(3))
+    }
+
+    // Guards against two primaries in one term when monitors that cannot reach each other propose at the same time.
+    @Test
+    fun `two proposers that do not hear each other promote one server per term`() {
+        val others = nodes.filter { it.domain != old.domain }.map { it.domain }
+        simulation.mutedPeers += others.toSet()
+        old.up = false
+        simulation.awaitPrimary(above = oldTerm)
+        simulation.run(5_000)
+
+        val promotions = simulation.servers.flatMap { it.promotedIn }
+        expectThat(promotions.distinct()).isEqualTo(promotions)
+        expectThat(nodes.map { it.groups.primary(simulation.database) }.distinct()).hasSize(1)
+    }
+
+    // Guards against a loser of a claim that waits for good for the winner, which died.
+    @Test
+    fun `the loser of a claim goes on when the winner dies`() {
+        simulation.mutedPeers += nodes.filter { it.domain != old.domain }.map { it.domain }.toSet()
+        simulation.platform.delay = 200
+        nodes.first { it.domain == old.domain }.freeze()
+        old.up = false
+        simulation.runUntil { nodes.any { it.failover is FailoverState.Claiming } }
+        nodes.first { it.failover is FailoverState.Claiming }.freeze()
+
+        expectThat(simulation.awaitPrimary(above = oldTerm)).isLessThan(8_000)
+        expectThat(simulation.primary.term).isEqualTo(Term(3))
+    }
+
+    // Guards against a promotion decided with what was known before this process was paused.
+    @Test
+    fun `a process that was paused probes before it suspects`() {
+        // The last answers of the primary arrive before the pause, and the first ones after it later than the others.
+        simulation.isolate(old.domain)
+        simulation.run(500)
+        simulation.cuts.clear()
+        nodes.forEach { simulation.slowness[setOf(it.domain, old.domain)] = 200 }
+        nodes.forEach { it.freeze() }
+        simulation.run(30_000)
+        nodes.forEach { it.resume() }
+        simulation.run(3_000)
+
+        expectThat(nodes.map { it.groups.term(simulation.database) }).all { isEqualTo(oldTerm) }
+        expectThat(simulation.platform.record("group/jobs")?.term).isEqualTo(oldTerm)
+    }
+
+    // Guards against new work on a primary whose host is about to disappear.
+    @Test
+    fun `a leaving primary is replaced while it still works`() {
+        simulation.run(2_000)
+        old.leaving = true
+
+        expectThat(simulation.awaitPrimary(above = oldTerm)).isLessThan(2_000)
+        expectThat(simulation.primary).isNotEqualTo(old)
+        simulation.run(5_000)
+        expectThat(simulation.primary.term).isEqualTo(Term(2))
+    }
+
+    // Guards against a server that stays out of its group because a proposer fenced it and died.
+    @Test
+    fun `a server fenced alone gets back into the group`() {
+        val stray = simulation.replicas.first()
+        stray.fenceFor(Term(2), nodes.last().identity)
+        simulation.run(8_000)
+
+        expectThat(simulation.servers.map { it.term }.distinct()).hasSize(1)
+        expectThat(simulation.replicas.map { it.follows }).all { isEqualTo(simulation.primary.name) }
+    }
+
+    // Guards against a claim that took effect but is taken for lost, which would block its own term.
+    @Test
+    fun `a claim whose answer was lost is recognized`() {
+        simulation.run(100)
+        simulation.platform.putAnswersToLose = 1
+        old.up = false
+
+        expectThat(simulation.awaitPrimary(above = oldTerm)).isLessThan(1_500)
+        expectThat(simulation.primary.term).isEqualTo(oldTerm.next())
+    }
+
+    // Guards against a record that stays without a primary.
+    @Test
+    fun `the promotion is recorded although answers are lost`() {
+        simulation.run(100)
+        old.up = false
+        simulation.runUntil { simulation.platform.record("group/jobs")?.term != oldTerm }
+        simulation.platform.putAnswersToLose = 2
+        simulation.awaitPrimary(above = oldTerm)
+        simulation.run(3_000)
+
+        expectThat(simulation.platform.record("group/jobs")?.primary).isEqualTo(simulation.primary.name)
+    }
+
+    // Guards against promotions that were not agreed through the platform.
+    @Test
+    fun `nobody is promoted while the platform is down`() {
+        simulation.platform.down = true
+        old.up = false
+        simulation.run(10_000)
+        expectThat(simulation.servers.maxOf { it.term }).isEqualTo(oldTerm)
+
+        simulation.platform.down = false
+        simulation.awaitPrimary(above = oldTerm)
+        expectThat(simulation.primary.term).isGreaterThan(oldTerm)
+    }
+
+    // Guards against an outage of the platform that stops a group whose primary works.
+    @Test
+    fun `writes go on while the platform is down`() {
+        simulation.platform.down = true
+        simulation.run(10_000)
+        val attempt = node.write(old)
+        simulation.run(50)
+
+        expectThat(node.signals).contains(Signal.DurabilityReached(attempt))
+    }
+
+    // Guards against queries for a database that this process does not monitor.
+    @Test
+    fun `a process that is not a home knows nothing`() {
+        val stranger = DatabaseName("unknown")
+
+        expectThat(node.groups.primary(stranger)).isNull()
+        expectThat(node.groups.term(stranger).number).isEqualTo(0)
+    }
 }
--- a/core/src/test/kotlin/dev/hibiscusreach/core/group/GroupSimulation.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/group/GroupSimulation.kt
@@ -33,7 +33,6 @@
 import dev.hibiscusreach.core.reducer.ProxySettings
 import dev.hibiscusreach.core.reducer.ProxyState
 import dev.hibiscusreach.core.reducer.Step
-import kotlinx.collections.immutable.persistentMapOf
 import java.util.PriorityQueue
 import kotlin.random.Random
 
@@ -55,7 +54,7 @@
     private val queue = PriorityQueue<Scheduled>(compareBy({ it.at }, { it.order }))
     private var order = 0L
     private val random = Random(seed)
-    private val group =
+    val group =
         DatabaseGroup(
             database,
             servers.map { server ->
@@ -150,20 +149,17 @@
         val failover: FailoverState? get() = groups.databases[database]?.failover
 
         fun start() {
-            val peers = nodes.filter { it != this }.map { Peer(it.identity, it.domain) }
-            state =
-                state.copy(
-                    configuration = ConfigurationState(ConfigurationIndex(Configuration(1, inventory))),
-                    membership =
-                    state.membership.copy(
-                        peers = peers.fold(persistentMapOf()) { map, peer ->
-                            map.put(peer.node.peerEndpoint, peer)
-                        },
-                    ),
-                )
+            state = state.copy(configuration = ConfigurationState(ConfigurationIndex(Configuration(1, inventory))))
+            meet(nodes.filter { it != this }.map { Peer(it.identity, it.domain) })
             receive(Event.Started)
         }
 
+        fun meet(peers: List<Peer>) {
+            val known = state.membership.peers.putAll(peers.associateBy { it.node.peerEndpoint })
+            state = state.copy(membership = state.membership.copy(peers = known))
+            receive(Signal.MembershipChanged)
+        }
+
         fun receive(event: Event) {
             if (frozen) {
                 waiting += event
--- a/core/src/test/kotlin/dev/hibiscusreach/core/group/GroupStateTest.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/group/GroupStateTest.kt
@@ -2,14 +2,8 @@
 
 import dev.hibiscusreach.core.event.ServerRole
 import dev.hibiscusreach.core.event.ServerStatus
-import dev.hibiscusreach.core.model.BackendServer
-import dev.hibiscusreach.core.model.DatabaseGroup
-import dev.hibiscusreach.core.model.DatabaseName
-import dev.hibiscusreach.core.model.Endpoint
-import dev.hibiscusreach.core.model.FailureDomainName
 import dev.hibiscusreach.core.model.MonotonicTime
 import dev.hibiscusreach.core.model.Position
-import dev.hibiscusreach.core.model.ServerName
 import dev.hibiscusreach.core.model.Term
 import dev.hibiscusreach.core.reducer.GroupSettings
 import org.junit.jupiter.api.Test
@@ -20,13 +14,8 @@
 import strikt.assertions.isNull
 
 class GroupStateTest {
-    private val names = listOf("first", "second", "third").map(::ServerName)
-    private val endpoint = Endpoint("10.0.0.1", 1)
-    private val group =
-        DatabaseGroup(
-            DatabaseName("jobs"),
-            names.map { BackendServer(it, FailureDomainName("yard"), endpoint, endpoint, 30, 2) },
-        )
+    private val group = GroupSimulation().group
+    private val names = group.servers.map { it.name }
     private val start = position(term = 1, index = 10)
     private val state =
         GroupState(
@@ -77,6 +66,18 @@
         expectThat(answered.leadershipVerifiedAt()).isEqualTo(MonotonicTime(100))
     }
 
+    // Guards against reads of entries that were never acknowledged, at a server that was fenced but does not follow.
+    @Test
+    fun `a server is offered for reads only once it follows the primary`() {
+        val fenced = state.seeing(1, term = 2, position(term = 1, index = 20), sentAt = 200)
+        val former = fenced.withHealth(names[1]) { it.copy(followedTerm = Term(1)) }
+        val following = fenced.withHealth(names[1]) { it.copy(followedTerm = Term(2)) }
+
+        val now = MonotonicTime(200 + DELAY)
+        expectThat(listOf(fenced, former, following).map { it.view(names[1], now).reachable })
+            .isEqualTo(listOf(false, false, true))
+    }
+
     // Guards against an outdated answer that arrives late and undoes what is known of a server.
     @Test
     fun `late answers change neither term nor position`() {
