Select homes step by step when nodes come and go

A test compares the selection by steps with the one made at once. The overload in DatabaseHomes is not needed any more.

--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/GroupsState.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/GroupsState.kt
@@ -4,7 +4,6 @@
 import dev.hibiscusreach.core.model.DatabaseName
 import dev.hibiscusreach.core.model.Millis
 import dev.hibiscusreach.core.model.MonotonicTime
-import dev.hibiscusreach.core.model.NodeIdentity
 import dev.hibiscusreach.core.model.Position
 import dev.hibiscusreach.core.model.ServerName
 import dev.hibiscusreach.core.model.Term
@@ -24,9 +23,6 @@
     val warmUpPercent: Int,
 )
 
-/** What the selection of the homes depends on; the homes are selected again only when it changes. */
-internal data class HomesInput(val generation: Long, val candidates: List<NodeIdentity>)
-
 /** The groups part's view of the database groups of which this process is a home. */
 @ConsistentCopyVisibility
 data class GroupsState internal constructor(
@@ -38,7 +34,7 @@
     internal val leavingServers: Set<ServerName> = emptySet(),
     /** Time of the latest probe period. A long gap means that this process was paused. */
     internal val lastTickAt: MonotonicTime? = null,
-    internal val homesInput: HomesInput? = null,
+    internal val homes: HomeSelection = HomeSelection(),
 ) {
     /** The current term of [database]; term 0 if it is not known yet. */
     fun term(database: DatabaseName): Term = databases[database]?.term ?: Term(0)
--- /dev/null
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/HomeSelection.kt
@@ -0,0 +1,42 @@
+package dev.hibiscusreach.core.group
+
+import dev.hibiscusreach.core.model.ConfigurationIndex
+import dev.hibiscusreach.core.model.DatabaseGroup
+import dev.hibiscusreach.core.model.DatabaseName
+import dev.hibiscusreach.core.model.FailureDomainName
+import dev.hibiscusreach.core.model.NodeIdentity
+import dev.hibiscusreach.core.reducer.DatabaseHomes
+import dev.hibiscusreach.core.reducer.RendezvousHash
+
+/**
+ * The homes of all groups in one failure domain. Hashing 1,600 groups over the nodes of a domain takes tens of
+ * milliseconds, so a change only hashes the groups whose home left, and the others with the nodes that were added.
+ */
+internal data class HomeSelection(
+    val generation: Long = 0,
+    val candidates: List<NodeIdentity> = emptyList(),
+    val homes: Map<DatabaseName, NodeIdentity> = emptyMap(),
+) {
+    /** The selection for another configuration or other nodes that take work; the same object if nothing changed. */
+    fun updated(index: ConfigurationIndex, domain: FailureDomainName, current: List<NodeIdentity>): HomeSelection {
+        if (index.generation == generation && current == candidates) return this
+        val added = current - candidates.toSet()
+        val remaining = current.toSet()
+        val selected =
+            index.databaseGroups
+                .filter { domain in DatabaseHomes.domains(it) }
+                .mapNotNull { group -> homeOf(group, current, remaining, added)?.let { group.name to it } }
+        return HomeSelection(index.generation, current, selected.toMap())
+    }
+
+    private fun homeOf(
+        group: DatabaseGroup,
+        current: List<NodeIdentity>,
+        remaining: Set<NodeIdentity>,
+        added: List<NodeIdentity>,
+    ): NodeIdentity? {
+        val known = homes[group.name]?.takeIf { it in remaining }
+        val contenders = if (known == null) current else added + known
+        return RendezvousHash.first(group.name.value, contenders) { it.peerEndpoint }
+    }
+}
--- a/core/src/main/kotlin/dev/hibiscusreach/core/group/Homes.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/group/Homes.kt
@@ -18,13 +18,12 @@
 /** Starts and ends the monitoring of groups after the members or the configuration changed. */
 internal fun GroupsTurn.selectHomes() {
     val index = state.configuration.index
-    val candidates = state.membership.takingWork(state.settings.failureDomain)
-    val input = HomesInput(index.generation, candidates)
-    // Hashing all databases over all nodes of the domain is costly; most membership changes are in other domains.
-    if (input == groups.homesInput) return
-    groups = groups.copy(homesInput = input)
-    val own = index.databaseGroups.filter { DatabaseHomes.isHome(state, it, candidates) }.associateBy { it.name }
-    own.values.forEach(::monitor)
+    val domain = state.settings.failureDomain
+    val homes = groups.homes.updated(index, domain, state.membership.takingWork(domain))
+    if (homes === groups.homes) return
+    groups = groups.copy(homes = homes)
+    val own = homes.homes.filterValues { it == state.settings.self }.keys
+    own.mapNotNull(index::group).forEach(::monitor)
     groups.databases.keys.filter { it !in own }.forEach(::retire)
 }
 
--- a/core/src/main/kotlin/dev/hibiscusreach/core/reducer/DatabaseHomes.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/reducer/DatabaseHomes.kt
@@ -25,12 +25,7 @@
 
     /** Whether this process is the home of [group] in its own failure domain. */
     fun isHome(state: ProxyState, group: DatabaseGroup): Boolean =
-        isHome(state, group, state.membership.takingWork(state.settings.failureDomain))
-
-    /** As above, with the [candidates] of this process's domain selected once for many groups. */
-    fun isHome(state: ProxyState, group: DatabaseGroup, candidates: List<NodeIdentity>): Boolean =
-        state.settings.failureDomain in domains(group) &&
-            RendezvousHash.first(group.name.value, candidates) { it.peerEndpoint } == state.settings.self
+        home(state, group, state.settings.failureDomain) == state.settings.self
 
     /** The home to which this process forwards requests for [group]: own domain first, then own region, then any. */
     fun nearest(state: ProxyState, group: DatabaseGroup): NodeIdentity? {
--- a/core/src/test/kotlin/dev/hibiscusreach/core/group/GroupSimulation.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/group/GroupSimulation.kt
@@ -69,8 +69,9 @@
                 )
             },
         )
-    private val inventory =
+    private val index =
         Inventory(domains.map { FailureDomain(it, RegionName("region")) }, databaseGroups = listOf(group))
+            .let { ConfigurationIndex(Configuration(generation = 1, it)) }
 
     init {
         nodes.forEach { it.start() }
@@ -149,7 +150,7 @@
         val failover: FailoverState? get() = groups.databases[database]?.failover
 
         fun start() {
-            state = state.copy(configuration = ConfigurationState(ConfigurationIndex(Configuration(1, inventory))))
+            state = state.copy(configuration = ConfigurationState(index))
             meet(nodes.filter { it != this }.map { Peer(it.identity, it.domain) })
             receive(Event.Started)
         }
--- a/core/src/test/kotlin/dev/hibiscusreach/core/group/HomesTest.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/group/HomesTest.kt
@@ -2,7 +2,11 @@
 
 import dev.hibiscusreach.core.event.Signal
 import dev.hibiscusreach.core.membership.Peer
+import dev.hibiscusreach.core.model.Configuration
+import dev.hibiscusreach.core.model.ConfigurationIndex
+import dev.hibiscusreach.core.model.DatabaseName
 import dev.hibiscusreach.core.model.Endpoint
+import dev.hibiscusreach.core.model.Inventory
 import dev.hibiscusreach.core.model.MonotonicTime
 import dev.hibiscusreach.core.model.NodeIdentity
 import org.junit.jupiter.api.Test
@@ -56,6 +60,21 @@
         expectThat(shares.first() < FULL && shares.last() == FULL).isEqualTo(true)
     }
 
+    // Guards against a selection that depends on the order of changes, so that two proxies take themselves for the home.
+    @Test
+    fun `homes selected step by step are the homes selected at once`() {
+        val groups = (1..50).map { simulation.group.copy(name = DatabaseName("database-$it")) }
+        val index = ConfigurationIndex(Configuration(generation = 1, Inventory(databaseGroups = groups)))
+        val nodes = (1..9).map { NodeIdentity(Endpoint("10.0.0.3", it), startedAtMillis = 1, nonce = 1) }
+        val steps = listOf(nodes.take(3), nodes.drop(1), nodes.filterIndexed { at, _ -> at % 2 == 0 }, nodes.reversed())
+
+        steps.fold(HomeSelection()) { selection, candidates ->
+            selection.updated(index, node.domain, candidates).also {
+                expectThat(it.homes).isEqualTo(HomeSelection().updated(index, node.domain, candidates).homes)
+            }
+        }
+    }
+
     private fun share(server: FakeServer): Int =
         node.groups
             .servers(simulation.database, MonotonicTime(simulation.now))
