Let link acceptance and load go on after single failures

A failed accept ended the loop that accepts links for good, and one lost answer about a chunk ended a load. Accepting now goes on after a pause, and calls of load whose repetition does no harm are made up to three times.

--- a/daemon/src/main/kotlin/dev/hibiscusreach/daemon/PlatformConfiguration.kt
+++ b/daemon/src/main/kotlin/dev/hibiscusreach/daemon/PlatformConfiguration.kt
@@ -27,7 +27,7 @@
 internal class PlatformConfiguration(private val platform: PlatformCalls) {
     /** The configuration as it stands; generation 0 if none was loaded yet. */
     fun read(): StoredConfiguration =
-        when (val answer = platform.call(PlatformCall.Get(ConfigurationCodec.ROOT_KEY))) {
+        when (val answer = callRepeatedly(PlatformCall.Get(ConfigurationCodec.ROOT_KEY))) {
             is PlatformAnswer.Found -> decode(answer)
             is PlatformAnswer.Missing -> StoredConfiguration(version = 0, EMPTY_ROOT, Configuration())
             else -> unexpected("reading the configuration", answer)
@@ -67,12 +67,22 @@
     // A chunk's key is the hash of its content, so a chunk that exists already is the same one.
     private fun storeChunk(hash: String, chunk: String) {
         val put = PlatformCall.Put(ConfigurationCodec.chunkKey(hash), chunk, expectedVersion = 0)
-        when (val answer = platform.call(put)) {
+        when (val answer = callRepeatedly(put)) {
             is PlatformAnswer.Stored, is PlatformAnswer.VersionConflict -> Unit
             else -> unexpected("storing a chunk", answer)
         }
     }
 
+    // For calls whose repetition does no harm.
+    private fun callRepeatedly(request: PlatformCall): PlatformAnswer =
+        (1..ATTEMPTS)
+            .asSequence()
+            .onEach { if (it > 1) Thread.sleep(PAUSE_MILLIS) }
+            .map { platform.call(request) }
+            .withIndex()
+            .first { (index, answer) -> answer !is PlatformAnswer.Failed || index == ATTEMPTS - 1 }
+            .value
+
     private fun decode(found: PlatformAnswer.Found): StoredConfiguration {
         val root = ConfigurationCodec.decodeRoot(found.value).getOrElse { unreadable(it) }
         val chunks = root.chunkHashes.associateWith(::chunk)
@@ -81,7 +91,7 @@
     }
 
     private fun chunk(hash: String): String =
-        when (val answer = platform.call(PlatformCall.Get(ConfigurationCodec.chunkKey(hash)))) {
+        when (val answer = callRepeatedly(PlatformCall.Get(ConfigurationCodec.chunkKey(hash)))) {
             is PlatformAnswer.Found -> answer.value
             else -> unexpected("reading a chunk", answer)
         }
@@ -95,6 +105,8 @@
     }
 
     private companion object {
+        const val ATTEMPTS = 3
+        const val PAUSE_MILLIS = 500L
         val EMPTY_ROOT = ConfigurationRoot(generation = 0, chunkHashes = emptyList())
     }
 }
--- a/daemon/src/test/kotlin/dev/hibiscusreach/daemon/LoadCommandTest.kt
+++ b/daemon/src/test/kotlin/dev/hibiscusreach/daemon/LoadCommandTest.kt
@@ -94,6 +94,15 @@
         expectThat(run.output).contains("generation 1")
     }
 
+    /** Guards against a load that gives up because one answer about a chunk was lost. */
+    @Test
+    fun `a chunk whose answer was lost is stored again`() {
+        val lost = mutableSetOf<String>()
+        platform.losesAnswer = { it != ConfigurationCodec.ROOT_KEY && lost.add(it) }
+        expectThat(loadBoth().exitCode).isEqualTo(ExitCode.SUCCESS)
+        expectThat(show()).contains("jobs-1")
+    }
+
     /** Guards against an outage that is reported as success or as a lost race. */
     @Test
     fun `an unreachable platform is reported`() {
--- a/daemon/src/test/kotlin/dev/hibiscusreach/daemon/MainTest.kt
+++ b/daemon/src/test/kotlin/dev/hibiscusreach/daemon/MainTest.kt
@@ -13,13 +13,13 @@
     @TempDir
     lateinit var folder: Path
 
-    private fun settings(callerAddress: String): Path =
+    private fun settings(callerAddress: String = "127.0.0.1:0", peerAddress: String = "127.0.0.1:0"): Path =
         TestFiles.write(
             folder,
             "settings.json",
             """
             {"failureDomain": "galway", "callerAddress": "$callerAddress", "operationsAddress": "127.0.0.1:0",
-             "peerAddress": "127.0.0.1:0", "platformAddresses": ["127.0.0.1:1"],
+             "peerAddress": "$peerAddress", "platformAddresses": ["127.0.0.1:1"],
              "tokenKey": "AAECAwQFBgcICQoLDA0ODxAREhMUFRYXGBkaGxwdHh8="}
             """.trimIndent(),
         )
@@ -28,16 +28,18 @@
     @Test
     fun `a port in use ends the process with its own code`() =
         ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { socket ->
-            val run = CommandRun.of("run", "--settings", settings("127.0.0.1:${socket.localPort}"))
-            expectThat(run.exitCode).isEqualTo(ExitCode.ADDRESS_IN_USE)
-            expectThat(run.errors).contains("cannot listen at 127.0.0.1:${socket.localPort}")
-            Unit
+            val address = "127.0.0.1:${socket.localPort}"
+            for (file in listOf({ settings(callerAddress = address) }, { settings(peerAddress = address) })) {
+                val run = CommandRun.of("run", "--settings", file())
+                expectThat(run.exitCode).isEqualTo(ExitCode.ADDRESS_IN_USE)
+                expectThat(run.errors).contains("cannot listen at $address")
+            }
         }
 
     /** Guards against stack traces as answers to mistakes of operators. */
     @Test
     fun `mistakes are answered with a message and a code`() {
-        val wrongSettings = CommandRun.of("run", "--settings", settings("nowhere"))
+        val wrongSettings = CommandRun.of("run", "--settings", settings(callerAddress = "nowhere"))
         expectThat(wrongSettings.exitCode).isEqualTo(ExitCode.INVALID_INPUT)
         expectThat(wrongSettings.errors).contains("settings.json: line 1, callerAddress")
         expectThat(CommandRun.of("run").exitCode).isEqualTo(ExitCode.INVALID_INPUT)
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/peer/KtorPeerLinks.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/peer/KtorPeerLinks.kt
@@ -117,7 +117,11 @@
     private suspend fun acceptLinks() {
         while (true) {
             val socket = listener.accept()
-            if (accepted < settings.maximumAcceptedLinks) scope.launch { accept(socket) } else socket.close()
+            when {
+                socket == null -> delay(settings.checkPeriod.value)
+                accepted < settings.maximumAcceptedLinks -> scope.launch { accept(socket) }
+                else -> socket.close()
+            }
         }
     }
 
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/peer/PeerListener.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/peer/PeerListener.kt
@@ -8,6 +8,7 @@
 import io.ktor.network.sockets.aSocket
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.runBlocking
+import org.slf4j.LoggerFactory
 import java.io.IOException
 import java.util.concurrent.Executors
 
@@ -20,7 +21,14 @@
     /** The address with its actual port. */
     val endpoint: Endpoint = Endpoint(address, (socket.localAddress as InetSocketAddress).port)
 
-    internal suspend fun accept(): FrameSocket = FrameSocket(socket.accept())
+    /** The next connection; null if none can be accepted now, for example because of too many open files. */
+    internal suspend fun accept(): FrameSocket? =
+        try {
+            FrameSocket(socket.accept())
+        } catch (failure: IOException) {
+            log.warn("no link can be accepted now: {}", failure.toString())
+            null
+        }
 
     internal suspend fun connect(endpoint: Endpoint): FrameSocket =
         FrameSocket(aSocket(selector).tcp().connect(endpoint.address, endpoint.port) { noDelay = true })
@@ -31,6 +39,8 @@
     }
 
     companion object {
+        private val log = LoggerFactory.getLogger(PeerListener::class.java)
+
         /** Listens at [address]. */
         fun bind(address: Endpoint): PeerListener {
             val executor = Executors.newSingleThreadExecutor { Thread(it, "peer-selector").apply { isDaemon = true } }
