--- a/core/src/main/kotlin/dev/hibiscusreach/core/event/PeerMessage.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/event/PeerMessage.kt
@@ -5,6 +5,7 @@
 import dev.hibiscusreach.core.model.CallerRequest
 import dev.hibiscusreach.core.model.Configuration
 import dev.hibiscusreach.core.model.DatabaseName
+import dev.hibiscusreach.core.model.Endpoint
 import dev.hibiscusreach.core.model.FailureDomainName
 import dev.hibiscusreach.core.model.NodeIdentity
 import dev.hibiscusreach.core.model.ServerName
@@ -26,6 +27,10 @@
     val refutation: Int = 0,
 )
 
+/** Permits that a permit home has lent, as told to its successor. */
+@Serializable
+data class PermitLoan(val borrower: NodeIdentity, val sequence: Long, val count: Int, val remainingMillis: Long)
+
 /** A message between two proxies. */
 @Serializable
 sealed interface PeerMessage {
@@ -38,6 +43,8 @@
         val generation: Long,
         /** Set if the ping was asked for by another node, which gets the acknowledgement passed on. */
         val onBehalfOf: NodeIdentity? = null,
+        /** Set while the sender does not know the fleet; the acknowledgement then has the receiver's whole view. */
+        val wantsView: Boolean = false,
     ) : PeerMessage
 
     /** Answers a [Ping]. */
@@ -56,6 +63,11 @@
     @SerialName("indirectPing")
     data class IndirectPing(val sequence: Long, val target: NodeIdentity) : PeerMessage
 
+    /** Tells the failure domain what one of its watchers read in the platform's host list. */
+    @Serializable
+    @SerialName("leavingHostsReported")
+    data class LeavingHostsReported(val servers: Set<ServerName>, val proxies: Set<Endpoint>) : PeerMessage
+
     /** Tells that the sender has the configuration of [generation]. */
     @Serializable
     @SerialName("configurationAnnounced")
@@ -66,12 +78,23 @@
     @SerialName("configurationRequested")
     data class ConfigurationRequested(val haveGeneration: Long) : PeerMessage
 
-    /** The sender's whole configuration. */
+    /** The sender's whole configuration, or one page of it if it is too large for one message. */
     @Serializable
     @SerialName("configurationDelivered")
     data class ConfigurationDelivered(
         val configuration: Configuration,
         val recentChanges: List<String> = emptyList(),
+        /** Number of this page, from 0. */
+        val page: Int = 0,
+        val pages: Int = 1,
+    ) : PeerMessage
+
+    /** The changes from the generation that the receiver has to the sender's. */
+    @Serializable
+    @SerialName("configurationChangesDelivered")
+    data class ConfigurationChangesDelivered(
+        val changes: List<ConfigurationChange>,
+        val recentChanges: List<String> = emptyList(),
     ) : PeerMessage
 
     /** Asks a monitor whether it sees the primary of [database] in [term]. */
@@ -109,20 +132,37 @@
     @SerialName("sharesReleased")
     data class SharesReleased(val server: ServerName, val count: Int, val last: Boolean) : PeerMessage
 
-    /** Asks for connection permits of [caller]. */
+    /**
+     * Asks for a lease of [count] connection permits of [caller], in place of the sender's earlier lease. A sender that
+     * asks for fewer than it has already uses no more than [count].
+     */
     @Serializable
     @SerialName("permitsRequested")
     data class PermitsRequested(val sequence: Long, val caller: CallerName, val count: Int) : PeerMessage
 
-    /** Grants permits for one lease; [count] may be lower than asked, also 0. */
+    /** Grants a lease of permits, counted from the request; [count] may be lower than asked, also 0. */
     @Serializable
     @SerialName("permitsGranted")
-    data class PermitsGranted(val sequence: Long, val caller: CallerName, val count: Int) : PeerMessage
+    data class PermitsGranted(
+        val sequence: Long,
+        val caller: CallerName,
+        val count: Int,
+        val leaseMillis: Long,
+    ) : PeerMessage
 
-    /** Gives permits back before their lease ends. */
+    /** Asks for the loans that the receiver has granted as the permit home of [caller]. */
     @Serializable
-    @SerialName("permitsReturned")
-    data class PermitsReturned(val sequence: Long, val caller: CallerName, val count: Int) : PeerMessage
+    @SerialName("permitBookRequested")
+    data class PermitBookRequested(val caller: CallerName) : PeerMessage
+
+    /** Answers [PermitBookRequested]. The new permit home grants nothing of its own for [quietMillis]. */
+    @Serializable
+    @SerialName("permitBookDelivered")
+    data class PermitBookDelivered(
+        val caller: CallerName,
+        val loans: List<PermitLoan>,
+        val quietMillis: Long,
+    ) : PeerMessage
 
     /** A message of a type that this version does not know; ignored. */
     @Serializable
