--- a/daemon/src/main/kotlin/dev/hibiscusreach/daemon/ConfigurationFiles.kt
+++ b/daemon/src/main/kotlin/dev/hibiscusreach/daemon/ConfigurationFiles.kt
@@ -1,9 +1,11 @@
 package dev.hibiscusreach.daemon
 
+import dev.hibiscusreach.core.configuration.InventoryCheck
+import dev.hibiscusreach.core.configuration.InventoryFault
+import dev.hibiscusreach.core.configuration.RequestedChange
 import dev.hibiscusreach.core.model.Configuration
 import dev.hibiscusreach.core.model.Inventory
 import dev.hibiscusreach.core.model.Rules
-import dev.hibiscusreach.runtime.settings.JsonLines
 import picocli.CommandLine.Option
 import java.nio.file.Path
 
@@ -24,19 +26,24 @@
     /** Whether no file is named. */
     val isEmpty: Boolean get() = listOf(inventory, servers, callers, rules).all { it == null }
 
+    /** The change that loads the files. */
+    fun read(identifier: String): RequestedChange {
+        if ((servers == null) != (callers == null)) invalidInput("--servers-csv and --callers-csv belong together")
+        if (inventory != null && servers != null) invalidInput("--inventory and --servers-csv exclude each other")
+        return RequestedChange(identifier, readInventory(), readRules())
+    }
+
     /** [base] with the parts that the files give in place of its own. Fails if the result is not valid. */
     fun applyTo(base: Configuration): Configuration {
-        checkOptions()
-        val result = base.copy(inventory = readInventory() ?: base.inventory, rules = readRules() ?: base.rules)
-        val faults = ConfigurationCheck.faults(result)
-        if (faults.isNotEmpty()) invalidInput(faults.joinToString("\n", transform = ::describe))
+        val change = read(identifier = "")
+        val result = base.copy(inventory = change.inventory ?: base.inventory, rules = change.rules ?: base.rules)
+        val faults = InventoryCheck.check(result.inventory, result.rules)
+        if (faults.isNotEmpty()) invalidInput(describe(faults))
         return result
     }
 
-    private fun checkOptions() {
-        if ((servers == null) != (callers == null)) invalidInput("--servers-csv and --callers-csv belong together")
-        if (inventory != null && servers != null) invalidInput("--inventory and --servers-csv exclude each other")
-    }
+    /** One line for each fault, with the file and line that it is in. */
+    fun describe(faults: List<InventoryFault>): String = faults.joinToString("\n", transform = ::describe)
 
     private fun readInventory(): Inventory? {
         val serversFile = servers
@@ -49,10 +56,21 @@
 
     private fun readRules(): Rules? = rules?.let { InputFiles.json(it, Rules.serializer()) }
 
-    private fun describe(fault: ConfigurationFault): String {
-        val file = if (fault.inRules) rules else inventory
-        val line = file?.let { JsonLines(InputFiles.text(it)).lineOf(fault.path) }
-        val place = listOfNotNull(file ?: servers, line?.let { "line $it" }, fault.path).joinToString()
-        return "$place: ${fault.message}"
+    private fun describe(fault: InventoryFault): String {
+        val file =
+            when {
+                fault.subject.startsWith("rule ") -> rules
+                fault.subject.startsWith("caller ") -> inventory ?: callers
+                else -> inventory ?: servers
+            }
+        val line = file?.let { line(it, fault.subject.substringBefore(',').substringAfterLast(' ')) }
+        return listOfNotNull(file, line?.let { "line $it" }, fault).joinToString()
+    }
+
+    // The name of a faulty entry first stands where the entry is defined, except for domains and callers without one.
+    private fun line(file: Path, name: String): Int? {
+        val pattern = Regex("(?<![\\w.-])${Regex.escape(name)}(?![\\w.-])")
+        val index = InputFiles.text(file).lineSequence().indexOfFirst { pattern.containsMatchIn(it) }
+        return if (index < 0) null else index + 1
     }
 }
--- a/daemon/src/main/kotlin/dev/hibiscusreach/daemon/DiffCommand.kt
+++ b/daemon/src/main/kotlin/dev/hibiscusreach/daemon/DiffCommand.kt
@@ -1,5 +1,6 @@
 package dev.hibiscusreach.daemon
 
+import dev.hibiscusreach.core.configuration.ConfigurationDifference
 import picocli.CommandLine.Command
 import picocli.CommandLine.Mixin
 import picocli.CommandLine.Model.CommandSpec
@@ -25,8 +26,9 @@
     override fun call(): Int {
         if (files.isEmpty) invalidInput("name at least one file to compare")
         val stored = platform.use(PlatformConfiguration::read)
-        val lines = Difference.lines(stored.configuration, files.applyTo(stored.configuration))
-        lines.forEach(spec.commandLine().out::println)
-        return if (lines.isEmpty()) ExitCode.SUCCESS else ExitCode.DIFFERENT
+        val difference =
+            ConfigurationDifference.between(stored.configuration, files.applyTo(stored.configuration))
+        if (!difference.isEmpty) spec.commandLine().out.println(difference)
+        return if (difference.isEmpty) ExitCode.SUCCESS else ExitCode.DIFFERENT
     }
 }
--- a/daemon/src/main/kotlin/dev/hibiscusreach/daemon/LoadCommand.kt
+++ b/daemon/src/main/kotlin/dev/hibiscusreach/daemon/LoadCommand.kt
@@ -1,5 +1,10 @@
 package dev.hibiscusreach.daemon
 
+import dev.hibiscusreach.core.configuration.ConfigurationDifference
+import dev.hibiscusreach.core.configuration.ConfigurationEdit
+import dev.hibiscusreach.core.configuration.EditResult
+import dev.hibiscusreach.core.configuration.RequestedChange
+import dev.hibiscusreach.core.configuration.StoredConfiguration
 import dev.hibiscusreach.core.model.Configuration
 import picocli.CommandLine.Command
 import picocli.CommandLine.Mixin
@@ -44,42 +49,42 @@
 
     override fun call(): Int {
         if (files.isEmpty) invalidInput("name at least one file to load")
-        return platform.use(::load)
+        val requested = files.read(change)
+        return platform.use { load(it, requested) }
     }
 
-    private fun load(platform: PlatformConfiguration): Int {
+    private fun load(platform: PlatformConfiguration, requested: RequestedChange): Int {
         val base = platform.read()
-        val edited = files.applyTo(base.configuration)
-        val expected = baseGeneration
-        return when {
-            change in base.root.recentChanges -> report("change $change is loaded already", base.root.generation)
-            expected != null && expected != base.root.generation -> lost(edited, base)
-            edited == base.configuration -> report("nothing to change", base.root.generation)
-            else -> store(platform, base, edited.copy(generation = base.root.generation + 1))
+        val prepared = ConfigurationEdit.prepare(base, requested)
+        val otherBase = baseGeneration != null && baseGeneration != base.configuration.generation
+        return when (prepared) {
+            is EditResult.AlreadyApplied -> report("change $change is loaded already", prepared.generation)
+            is EditResult.Invalid -> invalidInput(files.describe(prepared.faults))
+            is EditResult.NothingToChange -> report("nothing to change", prepared.generation)
+            is EditResult.Prepared ->
+                if (otherBase) lost(files.applyTo(base.configuration), base) else store(platform, base, prepared)
         }
     }
 
-    private fun store(platform: PlatformConfiguration, base: StoredConfiguration, edited: Configuration): Int =
-        when (val result = platform.store(base, edited, change)) {
+    private fun store(platform: PlatformConfiguration, base: StoredConfiguration, prepared: EditResult.Prepared): Int =
+        when (val result = platform.store(prepared, change)) {
             is StoreResult.Accepted -> {
-                printDifference(base.configuration, edited)
-                report("loaded change $change", result.generation)
+                spec.commandLine().out.println(prepared.difference)
+                report("loaded change $change", prepared.generation)
             }
             is StoreResult.Lost -> lost(base.configuration, result.current)
         }
 
     private fun lost(known: Configuration, current: StoredConfiguration): Int {
+        val generation = current.configuration.generation
         spec.commandLine().err.println(
-            "hibiscusreach: another edit came first, and generation ${current.root.generation} is in effect. " +
+            "hibiscusreach: another edit came first, and generation $generation is in effect. " +
                 "Nothing was changed. Differences to it:",
         )
-        Difference.lines(known, current.configuration).forEach(spec.commandLine().err::println)
+        spec.commandLine().err.println(ConfigurationDifference.between(known, current.configuration))
         return ExitCode.LOST_TO_CONCURRENT_EDIT
     }
 
-    private fun printDifference(before: Configuration, after: Configuration) =
-        Difference.lines(before, after).forEach(spec.commandLine().out::println)
-
     private fun report(message: String, generation: Long): Int {
         spec.commandLine().out.println("$message; generation $generation is in effect on the platform")
         return ExitCode.SUCCESS
--- a/daemon/src/main/kotlin/dev/hibiscusreach/daemon/PlatformConfiguration.kt
+++ b/daemon/src/main/kotlin/dev/hibiscusreach/daemon/PlatformConfiguration.kt
@@ -2,22 +2,15 @@
 
 import com.github.michaelbull.result.getOrElse
 import dev.hibiscusreach.core.configuration.ConfigurationCodec
-import dev.hibiscusreach.core.event.ConfigurationRoot
+import dev.hibiscusreach.core.configuration.EditResult
+import dev.hibiscusreach.core.configuration.StoredConfiguration
 import dev.hibiscusreach.core.event.PlatformAnswer
 import dev.hibiscusreach.core.event.PlatformCall
-import dev.hibiscusreach.core.model.Configuration
 
-/** The configuration on the platform at one version of its root. */
-internal class StoredConfiguration(
-    val version: Long,
-    val root: ConfigurationRoot,
-    val configuration: Configuration,
-)
-
-/** How an attempt to replace the configuration ended. */
+/** How an attempt to store a change ended. */
 internal sealed interface StoreResult {
-    /** The new configuration is accepted. */
-    data class Accepted(val generation: Long) : StoreResult
+    /** The change is accepted. */
+    data object Accepted : StoreResult
 
     /** Another edit came first. */
     data class Lost(val current: StoredConfiguration) : StoreResult
@@ -29,19 +22,17 @@
     fun read(): StoredConfiguration =
         when (val answer = callRepeatedly(PlatformCall.Get(ConfigurationCodec.ROOT_KEY))) {
             is PlatformAnswer.Found -> decode(answer)
-            is PlatformAnswer.Missing -> StoredConfiguration(version = 0, EMPTY_ROOT, Configuration())
+            is PlatformAnswer.Missing -> StoredConfiguration()
             else -> unexpected("reading the configuration", answer)
         }
 
-    /** Replaces [base] with [configuration] as the edit [change], unless another edit came first. */
-    fun store(base: StoredConfiguration, configuration: Configuration, change: String): StoreResult {
-        val encoded = ConfigurationCodec.encode(configuration, base.root.recentChanges + change)
-        encoded.chunks.forEach { (hash, chunk) -> storeChunk(hash, chunk) }
-        val value = ConfigurationCodec.encodeRoot(encoded.root)
-        return when (val answer = platform.call(PlatformCall.Put(ConfigurationCodec.ROOT_KEY, value, base.version))) {
-            is PlatformAnswer.Stored -> StoreResult.Accepted(configuration.generation)
+    /** Stores the [prepared] change called [change], unless another edit came first. */
+    fun store(prepared: EditResult.Prepared, change: String): StoreResult {
+        prepared.chunks.forEach(::storeChunk)
+        return when (val answer = platform.call(prepared.root)) {
+            is PlatformAnswer.Stored -> StoreResult.Accepted
             is PlatformAnswer.VersionConflict -> compare(change)
-            is PlatformAnswer.Failed -> resolve(base, change, answer.reason)
+            is PlatformAnswer.Failed -> resolve(prepared, change, answer.reason)
             else -> unexpected("storing the configuration", answer)
         }
     }
@@ -49,24 +40,20 @@
     // The root changed after it was read: by another edit, or by this one if an answer was lost.
     private fun compare(change: String): StoreResult {
         val current = read()
-        return if (change in current.root.recentChanges) {
-            StoreResult.Accepted(current.root.generation)
-        } else {
-            StoreResult.Lost(current)
-        }
+        val accepted = change in current.root?.recentChanges.orEmpty()
+        return if (accepted) StoreResult.Accepted else StoreResult.Lost(current)
     }
 
     // The put may have taken effect although its answer was lost.
-    private fun resolve(base: StoredConfiguration, change: String, reason: String): StoreResult {
+    private fun resolve(prepared: EditResult.Prepared, change: String, reason: String): StoreResult {
         val result = compare(change)
-        val unchanged = result is StoreResult.Lost && result.current.version == base.version
+        val unchanged = result is StoreResult.Lost && result.current.rootVersion == prepared.root.expectedVersion
         if (unchanged) throw CommandFailure(ExitCode.UNREACHABLE, "the platform did not store the root: $reason")
         return result
     }
 
     // A chunk's key is the hash of its content, so a chunk that exists already is the same one.
-    private fun storeChunk(hash: String, chunk: String) {
-        val put = PlatformCall.Put(ConfigurationCodec.chunkKey(hash), chunk, expectedVersion = 0)
+    private fun storeChunk(put: PlatformCall.Put) {
         when (val answer = callRepeatedly(put)) {
             is PlatformAnswer.Stored, is PlatformAnswer.VersionConflict -> Unit
             else -> unexpected("storing a chunk", answer)
@@ -87,7 +74,7 @@
         val root = ConfigurationCodec.decodeRoot(found.value).getOrElse { unreadable(it) }
         val chunks = root.chunkHashes.associateWith(::chunk)
         val configuration = ConfigurationCodec.decode(root, chunks).getOrElse { unreadable(it) }
-        return StoredConfiguration(found.version, root, configuration)
+        return StoredConfiguration(root, found.version, configuration)
     }
 
     private fun chunk(hash: String): String =
@@ -107,6 +94,5 @@
     private companion object {
         const val ATTEMPTS = 3
         const val PAUSE_MILLIS = 500L
-        val EMPTY_ROOT = ConfigurationRoot(generation = 0, chunkHashes = emptyList())
     }
 }
--- a/daemon/src/test/kotlin/dev/hibiscusreach/daemon/LoadCommandTest.kt
+++ b/daemon/src/test/kotlin/dev/hibiscusreach/daemon/LoadCommandTest.kt
@@ -70,7 +70,9 @@
         val before = Files.readString(mine)
         val run = load("--rules", mine)
         expectThat(run.exitCode).isEqualTo(ExitCode.LOST_TO_CONCURRENT_EDIT)
-        expectThat(run.errors).contains("generation 2 is in effect").contains("connectionLimit=8")
+        expectThat(
+            run.errors
+        ).contains("generation 2 is in effect").contains("rule of caller tablet: connection limit 3 -> 8")
         expectThat(show()).contains("\"connectionLimit\": 8")
         expectThat(Files.readString(mine)).isEqualTo(before)
     }
@@ -121,7 +123,7 @@
         Files.writeString(servers, TestFiles.SERVERS_CSV.replace(",30,5", ",31,5"))
         val different = CommandRun.of("diff", *tables)
         expectThat(different.exitCode).isEqualTo(ExitCode.DIFFERENT)
-        expectThat(different.output).contains("~ server jobs-1 of jobs")
+        expectThat(different.output).contains("changed server jobs-1: connection limit 30 -> 31")
     }
 
     /** Guards against shown files that cannot be loaded again. */
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/ProxyRuntime.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/ProxyRuntime.kt
@@ -2,8 +2,6 @@
 
 import dev.hibiscusreach.core.event.DrainPhase
 import dev.hibiscusreach.core.event.Event
-import dev.hibiscusreach.core.event.PeerCondition
-import dev.hibiscusreach.core.event.PeerUpdate
 import dev.hibiscusreach.core.model.MonotonicTime
 import dev.hibiscusreach.core.model.NodeIdentity
 import dev.hibiscusreach.core.reducer.ProxyState
@@ -19,7 +17,6 @@
 import dev.hibiscusreach.runtime.loop.SystemClock
 import dev.hibiscusreach.runtime.operations.DumpedAddresses
 import dev.hibiscusreach.runtime.operations.DumpedConnections
-import dev.hibiscusreach.runtime.operations.DumpedRequests
 import dev.hibiscusreach.runtime.operations.OperationsEndpoint
 import dev.hibiscusreach.runtime.operations.OperationsView
 import dev.hibiscusreach.runtime.operations.StateDump
@@ -53,7 +50,12 @@
     private val sessions = factory.sessions(group, loop)
     private val control = factory.control(group, loop)
     private val platform = factory.platform(group, settings.addresses.platform, loop)
-    private val peers = KtorPeerLinks(listener, loop, PeerLinkSettings(), metrics, ::ownUpdate)
+    private val peers = KtorPeerLinks(
+        listener,
+        loop,
+        PeerLinkSettings(),
+        metrics
+    ) { loop.state.membership.selfUpdate() }
     private val configurationClock = ConfigurationClock()
 
     /** Where the process listens, with actual ports. */
@@ -110,12 +112,6 @@
         metrics.gauge("hibiscusreach.peers.live") { loop.state.membership.livePeers().size }
     }
 
-    private fun ownUpdate(): PeerUpdate {
-        val state = loop.state
-        val condition = if (state.drainPhase == DrainPhase.SERVING) PeerCondition.ALIVE else PeerCondition.DRAINING
-        return PeerUpdate(self, settings.failureDomain, condition)
-    }
-
     private fun dump(): StateDump {
         val state = loop.state
         return StateDump(
@@ -128,7 +124,7 @@
             members = StateReader.members(state),
             groups = StateReader.groups(state, clock.now()),
             connections = DumpedConnections(callers.connectionCount, sessions.connectionCount),
-            requests = DumpedRequests(callers.requestsInFlight, loop.queueLength, emptyMap()),
+            requests = StateReader.requests(state, callers.requestsInFlight, loop.queueLength),
         )
     }
 
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/loop/EventLoop.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/loop/EventLoop.kt
@@ -104,8 +104,6 @@
             notifyListeners(before, transition.state)
         } catch (failure: RuntimeException) {
             log.error("event could not be handled: {}", event, failure)
-        } catch (failure: NotImplementedError) {
-            log.error("event is not supported: {}", event, failure)
         }
         listeners.forEach { it.reduced(event, System.nanoTime() - startedAt) }
     }
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/operations/StateDump.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/operations/StateDump.kt
@@ -54,9 +54,9 @@
 @Serializable
 data class DumpedGroup(
     val database: DatabaseName,
-    val term: Term?,
+    val term: Term,
     val primary: ServerName?,
-    val durable: Position?,
+    val durable: Position,
     val homes: Map<FailureDomainName, NodeIdentity?>,
     val servers: List<DumpedServer>,
 )
@@ -72,7 +72,7 @@
     val applied: Position?,
     val latencyMillis: Long?,
     val warmUpPercent: Int?,
-    val freeConnections: Int?,
+    val freeConnections: Int,
 )
 
 /** Open connections of the process. */
@@ -81,4 +81,11 @@
 
 /** Requests in progress. */
 @Serializable
-data class DumpedRequests(val inFlight: Int, val waitingEvents: Int, val byPhase: Map<String, Int>)
+data class DumpedRequests(
+    /** Requests of callers of this process. */
+    val inFlight: Int,
+    val waitingEvents: Int,
+    val openTransactions: Int,
+    /** Requests that this process works on, those that peers forwarded to it included. */
+    val byPhase: Map<String, Int>,
+)
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/operations/StateReader.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/operations/StateReader.kt
@@ -6,6 +6,7 @@
 import dev.hibiscusreach.core.model.MonotonicTime
 import dev.hibiscusreach.core.reducer.DatabaseHomes
 import dev.hibiscusreach.core.reducer.ProxyState
+import dev.hibiscusreach.core.request.RequestPhase
 
 /** Reads the parts of a [StateDump] from the slices of the reducer's state. */
 internal object StateReader {
@@ -29,10 +30,10 @@
         state.configuration.index.databaseGroups.map { group ->
             DumpedGroup(
                 database = group.name,
-                term = offered { state.groups.term(group.name) },
-                primary = offered { state.groups.primary(group.name) },
-                durable = offered { state.groups.durable(group.name) },
-                homes = offered { homes(state, group) }.orEmpty(),
+                term = state.groups.term(group.name),
+                primary = state.groups.primary(group.name),
+                durable = state.groups.durable(group.name),
+                homes = homes(state, group),
                 servers = servers(state, group, now),
             )
         }
@@ -41,7 +42,7 @@
         DatabaseHomes.domains(group).associateWith { DatabaseHomes.home(state, group, it) }
 
     private fun servers(state: ProxyState, group: DatabaseGroup, now: MonotonicTime): List<DumpedServer> {
-        val views = offered { state.groups.servers(group.name, now) }.orEmpty().associateBy { it.name }
+        val views = state.groups.servers(group.name, now).associateBy { it.name }
         return group.servers.map { server -> dumped(state, server, views[server.name]) }
     }
 
@@ -55,15 +56,28 @@
             applied = view?.applied,
             latencyMillis = view?.latency?.value,
             warmUpPercent = view?.warmUpPercent,
-            freeConnections = offered { state.pools.freeConnections(server.name) },
+            freeConnections = state.pools.freeConnections(server.name),
         )
 
-    // Parts of the reducer that are not finished do not offer their values yet.
-    @Suppress("SwallowedException")
-    private fun <T> offered(read: () -> T): T? =
-        try {
-            read()
-        } catch (failure: NotImplementedError) {
-            null
+    fun requests(state: ProxyState, inFlight: Int, waitingEvents: Int): DumpedRequests =
+        DumpedRequests(
+            inFlight = inFlight,
+            waitingEvents = waitingEvents,
+            openTransactions = state.requests.transactions.size,
+            byPhase =
+            state.requests.pending.values
+                .groupingBy { phase(it.phase) }
+                .eachCount(),
+        )
+
+    private fun phase(phase: RequestPhase): String =
+        when (phase) {
+            is RequestPhase.Arrived -> "arrived"
+            is RequestPhase.AwaitingReplica -> "awaitingReplica"
+            is RequestPhase.AwaitingPrimary -> "awaitingPrimary"
+            is RequestPhase.Connecting -> "connecting"
+            is RequestPhase.Sent -> "sent"
+            is RequestPhase.Verifying -> "verifying"
+            is RequestPhase.Forwarded -> "forwarded"
         }
 }
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/settings/DecisionSettingsReader.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/settings/DecisionSettingsReader.kt
@@ -62,6 +62,8 @@
             takeoverDelay = section.millis("takeoverDelay", default.takeoverDelay),
             permitLease = section.millis("permitLease", default.permitLease),
             permitMargin = section.millis("permitMargin", default.permitMargin),
+            permitRetry = section.millis("permitRetry", default.permitRetry),
+            openRetry = section.millis("openRetry", default.openRetry),
         )
 
     private fun request(section: SectionReader, default: RequestSettings) =
--- a/runtime/src/test/kotlin/dev/hibiscusreach/runtime/settings/SettingsFileTest.kt
+++ b/runtime/src/test/kotlin/dev/hibiscusreach/runtime/settings/SettingsFileTest.kt
@@ -41,7 +41,7 @@
         expectThat(settings).isNotNull().isEqualTo(SettingsFile.parse(required).get())
         val root = JsonText.json.parseToJsonElement(example).jsonObject
         val keys = root.size + root.values.filterIsInstance<JsonObject>().sumOf { it.size }
-        expectThat(keys).isEqualTo(14 + 8 + 10 + 7 + 9 + 14)
+        expectThat(keys).isEqualTo(14 + 8 + 10 + 7 + 11 + 14)
     }
 
     /** Guards against settings that the decisions never get. */
