--- a/core/src/test/kotlin/dev/hibiscusreach/core/group/FailoverTest.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/group/FailoverTest.kt
@@ -154,6 +154,8 @@
     @Test
     fun `a leaving primary is replaced while it still works`() {
         simulation.run(2_000)
+        simulation.replicas.forEach { it.stalled = true }
+        old.write()
         old.leaving = true
 
         expectThat(simulation.awaitPrimary(above = oldTerm)).isLessThan(2_000)
@@ -162,6 +164,18 @@
         expectThat(simulation.primary.term).isEqualTo(Term(2))
     }
 
+    // Guards against a replica that is reachable but never catches up again.
+    @Test
+    fun `a replica that forgot whom it follows is told again`() {
+        val replica = simulation.replicas.first()
+        simulation.run(1_000)
+        replica.follows = null
+        old.write()
+        simulation.run(4_000)
+
+        expectThat(replica.log).isEqualTo(old.log)
+    }
+
     // Guards against a server that stays out of its group because a proposer fenced it and died.
     @Test
     fun `a server fenced alone gets back into the group`() {
