--- a/standins/src/main/kotlin/dev/hibiscusreach/standins/command/Main.kt
+++ b/standins/src/main/kotlin/dev/hibiscusreach/standins/command/Main.kt
@@ -3,6 +3,7 @@
 import ch.qos.logback.classic.Level
 import ch.qos.logback.classic.Logger
 import dev.hibiscusreach.core.model.Endpoint
+import dev.hibiscusreach.standins.slopes.SlopesCommand
 import org.slf4j.LoggerFactory
 import picocli.CommandLine
 import picocli.CommandLine.Command
@@ -34,6 +35,7 @@
         TransactionCommand::class,
         DriveCommand::class,
         IdleCommand::class,
+        SlopesCommand::class,
     ],
 )
 internal class StandinsCommand
