Measure watchers apart, primary changes and memory more reliably

Watchers read the whole store while other nodes get only the difference, so that one average hides both. Retained heap was 0 for some sizes when a local variable held the state; a field holds it now.

--- a/standins/src/main/kotlin/dev/hibiscusreach/standins/slopes/CostMeter.kt
+++ b/standins/src/main/kotlin/dev/hibiscusreach/standins/slopes/CostMeter.kt
@@ -2,7 +2,6 @@
 
 import com.sun.management.ThreadMXBean
 import java.lang.management.ManagementFactory
-import java.lang.ref.Reference
 
 /** Adds up the processor time and the allocated bytes of this thread's measured blocks. */
 internal class CostMeter {
@@ -30,15 +29,18 @@
 
     companion object {
         private const val COLLECTIONS = 3
+        // A field, because a local variable may stay reachable or be dropped early, as the compiler sees fit.
+        @Volatile
+        private var held: Any? = null
         private val threads = ManagementFactory.getThreadMXBean() as ThreadMXBean
 
         /** Heap in bytes that only the result of [build] keeps alive. */
         fun retainedBytes(build: () -> Any): Double {
-            var held: Any? = build()
-            val before = usedHeapAfterCollection()
-            Reference.reachabilityFence(held)
+            val without = usedHeapAfterCollection()
+            held = build()
+            val with = usedHeapAfterCollection()
             held = null
-            return (before - usedHeapAfterCollection()).toDouble()
+            return (with - without).toDouble()
         }
 
         // A single explicit collection can leave objects with pending reference processing behind.
--- a/standins/src/main/kotlin/dev/hibiscusreach/standins/slopes/MemoryExperiment.kt
+++ b/standins/src/main/kotlin/dev/hibiscusreach/standins/slopes/MemoryExperiment.kt
@@ -4,7 +4,13 @@
 
 /** Heap retained by the state of one proxy. */
 internal class MemoryExperiment(private val repetitions: Int) {
-    fun run(): List<Series> =
+    fun run(): List<Series> {
+        // The first collections also free what earlier experiments left behind.
+        CostMeter.retainedBytes { LoneProxy(PEERS.first()).proxy.state }
+        return measured()
+    }
+
+    private fun measured(): List<Series> =
         series(PEERS, "peers") { LoneProxy(it).proxy.state } +
             series(DATABASES, "databases known") { loaded(databases = it, callers = 1) } +
             series(CALLERS, "callers with a rule") { loaded(databases = 0, callers = it) } +
--- a/standins/src/main/kotlin/dev/hibiscusreach/standins/slopes/SimulatedFleet.kt
+++ b/standins/src/main/kotlin/dev/hibiscusreach/standins/slopes/SimulatedFleet.kt
@@ -34,7 +34,7 @@
     val time = SimulatedTime()
     val platform = SimulatedPlatform(time)
     private val random = Random(seed)
-    private val servers = SimulatedServers(initial.inventory.databaseGroups, time)
+    val servers = SimulatedServers(initial.inventory.databaseGroups, time)
     val proxies =
         List(nodes) { SimulatedProxy(Deployment.settings(it, nodes), time, Random(random.nextLong()), ::perform) }
     private val byEndpoint: Map<Endpoint, SimulatedProxy> = proxies.associateBy { it.settings.self.peerEndpoint }
@@ -58,11 +58,16 @@
     /** Measures all steps of the next [millis]. */
     fun measure(millis: Long): Pair<CostMeter, Traffic> {
         val meter = CostMeter()
+        return meter to measure(millis) { meter }
+    }
+
+    /** Measures the steps of each proxy of the next [millis] with the meter that [choose] names for it. */
+    fun measure(millis: Long, choose: (SimulatedProxy) -> CostMeter): Traffic {
         val before = traffic
-        proxies.forEach { it.meter = meter }
+        proxies.forEach { it.meter = choose(it) }
         time.advance(millis)
         proxies.forEach { it.meter = null }
-        return meter to traffic - before
+        return traffic - before
     }
 
     private fun perform(proxy: SimulatedProxy, effect: Effect) {
--- a/standins/src/main/kotlin/dev/hibiscusreach/standins/slopes/SimulatedServers.kt
+++ b/standins/src/main/kotlin/dev/hibiscusreach/standins/slopes/SimulatedServers.kt
@@ -1,5 +1,6 @@
 package dev.hibiscusreach.standins.slopes
 
+import dev.hibiscusreach.core.event.ConnectionFailure
 import dev.hibiscusreach.core.event.ControlAnswer
 import dev.hibiscusreach.core.event.ControlCommand
 import dev.hibiscusreach.core.event.Effect
@@ -16,6 +17,7 @@
         groups.flatMap { it.servers }.associate {
             it.name to DatabaseServerModel(DatabaseServerSettings(it.name, it.connectionLimit, it.slots))
         }
+    private val silent = mutableSetOf<ServerName>()
     private var nextCall = 0L
 
     /** Control commands since the start. */
@@ -26,9 +28,20 @@
     var bytes = 0L
         private set
 
+    /** Lets [server] answer nothing any more, as if its network was cut. */
+    fun silence(server: ServerName?) {
+        silent += checkNotNull(server)
+    }
+
     fun control(proxy: SimulatedProxy, effect: Effect.SendControlCommand) {
         commands++
         bytes += Json.encodeToString(ControlCommand.serializer(), effect.command).length
+        if (effect.server in silent) {
+            time.afterMillis(effect.timeout.value) {
+                proxy.deliver(Event.ControlFailed(effect.call, effect.server, ConnectionFailure.TIMED_OUT))
+            }
+            return
+        }
         val answer = models.getValue(effect.server).control(nextCall++, effect.command, time.nowMillis)
         time.after(ROUND_TRIP_MICROS) {
             if (answer != null) {
--- a/standins/src/main/kotlin/dev/hibiscusreach/standins/slopes/SlopesCommand.kt
+++ b/standins/src/main/kotlin/dev/hibiscusreach/standins/slopes/SlopesCommand.kt
@@ -32,6 +32,7 @@
                 NodesExperiment(repetitions)::run,
                 DatabasesExperiment(repetitions)::run,
                 ChangesExperiment(repetitions)::run,
+                FailoverExperiment(repetitions)::run,
                 StepsExperiment(repetitions)::run,
                 MemoryExperiment(repetitions)::run,
             )
