--- a/standins/src/main/kotlin/dev/hibiscusreach/standins/slopes/ChangesExperiment.kt
+++ b/standins/src/main/kotlin/dev/hibiscusreach/standins/slopes/ChangesExperiment.kt
@@ -5,7 +5,10 @@
 import dev.hibiscusreach.core.model.Configuration
 import dev.hibiscusreach.core.model.Rules
 
-/** Cost of configuration changes in a fleet with two watchers and two other nodes a failure domain, against their number and the size of the inventory. */
+/**
+ * Cost of configuration changes against their number and the size of the inventory, in a fleet with two watchers and
+ * two other nodes in each failure domain.
+ */
 internal class ChangesExperiment(private val repetitions: Int) {
     fun run(): List<Series> =
         repeated(CHANGES, repetitions) { changes, run -> byNumber(changes, run) } +
@@ -41,7 +44,8 @@
         val fleet = SimulatedFleet(NODES, initial, run)
         fleet.start(SETTLE_MILLIS)
         repeat(changes) { change ->
-            fleet.time.afterMillis((change + 1) * CHANGE_PERIOD_MILLIS) { fleet.platform.publish(edit(initial, change)) }
+            val delayMillis = (change + 1) * CHANGE_PERIOD_MILLIS
+            fleet.time.afterMillis(delayMillis) { fleet.platform.publish(edit(initial, change)) }
         }
         val watchers = CostMeter()
         val others = CostMeter()
--- a/standins/src/main/kotlin/dev/hibiscusreach/standins/slopes/CostMeter.kt
+++ b/standins/src/main/kotlin/dev/hibiscusreach/standins/slopes/CostMeter.kt
@@ -29,6 +29,7 @@
 
     companion object {
         private const val COLLECTIONS = 3
+
         // A field, because a local variable may stay reachable or be dropped early, as the compiler sees fit.
         @Volatile
         private var held: Any? = null
--- a/standins/src/main/kotlin/dev/hibiscusreach/standins/slopes/LoneProxy.kt
+++ b/standins/src/main/kotlin/dev/hibiscusreach/standins/slopes/LoneProxy.kt
@@ -27,7 +27,9 @@
 
     init {
         proxy.deliver(Event.Started)
-        (1 until nodes).forEach { proxy.deliver(introduction(Deployment.identity(it), it)) }
+        for (index in 1 until nodes) {
+            proxy.deliver(introduction(Deployment.identity(index), index))
+        }
     }
 
     /** Takes [configuration] over as if a peer had delivered it, and selects the homes. */
--- a/standins/src/main/kotlin/dev/hibiscusreach/standins/slopes/MemoryExperiment.kt
+++ b/standins/src/main/kotlin/dev/hibiscusreach/standins/slopes/MemoryExperiment.kt
@@ -45,7 +45,7 @@
         val fleet = SimulatedFleet(nodes = 1, configuration, seed = 1)
         fleet.start(SETTLE_MILLIS)
         val proxy = fleet.proxies.single()
-        (0 until requests).chunked(BATCH).forEach { batch ->
+        for (batch in (0 until requests).chunked(BATCH)) {
             batch.forEach { proxy.deliver(arrival(it, "database-0")) }
             fleet.time.advance(BATCH_MILLIS)
         }
