Ask the groups part whether a position is durable

A diverged entry of an old term compares lower than the durable position of a new term, so the comparison in the requests part could have delivered a read of an entry that a promotion loses. The groups part's own query knows the term of the entry. The command line's test expected that another edit under the identifier of a loaded one is taken for a repetition. The core refuses it, so that no edit is lost silently; the test is split into the repetition and the refusal.

--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/RequestViews.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/RequestViews.kt
@@ -29,9 +29,11 @@
 internal interface GroupView {
     val term: Term
     val primary: ServerName?
-    val durable: Position
     val leadershipVerifiedAt: MonotonicTime?
 
+    /** Whether a majority is known to hold [position] and no promotion can lose it. */
+    fun isDurable(position: Position): Boolean
+
     fun servers(now: MonotonicTime): List<ServerView>
 
     fun ageOf(position: Position, now: MonotonicTime): Millis?
@@ -60,11 +62,12 @@
 private class SliceGroupView(private val state: ProxyState, private val database: DatabaseName) : GroupView {
     override val term: Term get() = state.groups.term(database)
     override val primary: ServerName? get() = state.groups.primary(database)
-    override val durable: Position get() = state.groups.durable(database)
     override val leadershipVerifiedAt: MonotonicTime? get() = state.groups.leadershipVerifiedAt(database)
 
     override fun servers(now: MonotonicTime): List<ServerView> = state.groups.servers(database, now)
 
+    override fun isDurable(position: Position): Boolean = state.groups.isDurable(database, position)
+
     override fun ageOf(position: Position, now: MonotonicTime): Millis? = state.groups.ageOf(database, position, now)
 }
 
--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/Verification.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/Verification.kt
@@ -37,7 +37,7 @@
     return when {
         // A server of an earlier term may hold entries that the current term does not have.
         phase.answer.status.term < group.term -> Outstanding.TERM_CHANGED
-        !phase.durable && phase.answer.position() > group.durable -> Outstanding.DURABILITY
+        !phase.durable && !group.isDurable(phase.answer.position()) -> Outstanding.DURABILITY
         isRecentEnough(request, phase) -> Outstanding.NOTHING
         phase.server == group.primary -> Outstanding.LEADERSHIP
         else -> Outstanding.TOO_OLD
--- a/core/src/test/kotlin/dev/hibiscusreach/core/request/FakeViews.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/request/FakeViews.kt
@@ -17,7 +17,7 @@
 internal class FakeViews(private val self: NodeIdentity) : RequestViews, GroupView, FleetView {
     override var term: Term = Term(1)
     override var primary: ServerName? = Fixture.PRIMARY
-    override var durable: Position = at(index = 10)
+    var durable: Position = at(index = 10)
     override var leadershipVerifiedAt: MonotonicTime? = null
     val applied = mutableMapOf(Fixture.PRIMARY to at(10), Fixture.REPLICA to at(10), Fixture.FAR_REPLICA to at(10))
     val homes = mutableMapOf(Fixture.GALWAY to self)
@@ -31,6 +31,8 @@
             ServerView(name, reachable = true, leaving = false, position, 1.milliseconds, warmUpPercent = 100)
         }
 
+    override fun isDurable(position: Position): Boolean = position <= durable
+
     override fun ageOf(position: Position, now: MonotonicTime): Millis? = ages[position]
 
     override fun group(state: ProxyState, database: DatabaseName): GroupView = this
--- a/daemon/src/test/kotlin/dev/hibiscusreach/daemon/LoadCommandTest.kt
+++ b/daemon/src/test/kotlin/dev/hibiscusreach/daemon/LoadCommandTest.kt
@@ -37,13 +37,23 @@
     @Test
     fun `loading a change again has no effect`() {
         expectThat(loadBoth("--change", "c1").exitCode).isEqualTo(ExitCode.SUCCESS)
-        TestFiles.write(folder, "rules.json", TestFiles.rules(connectionLimit = 9))
         val again = loadBoth("--change", "c1")
         expectThat(again.exitCode).isEqualTo(ExitCode.SUCCESS)
         expectThat(again.output).contains("loaded already; generation 1")
         expectThat(show()).contains("\"generation\": 1").contains("\"connectionLimit\": 3")
     }
 
+    /** Guards against an edit that is taken for the earlier one with its identifier and is silently lost. */
+    @Test
+    fun `another edit under the identifier of a loaded one is an error and changes nothing`() {
+        loadBoth("--change", "c1")
+        TestFiles.write(folder, "rules.json", TestFiles.rules(connectionLimit = 9))
+        val other = loadBoth("--change", "c1")
+        expectThat(other.exitCode).isEqualTo(ExitCode.INVALID_INPUT)
+        expectThat(other.errors).contains("another change has it already")
+        expectThat(show()).contains("\"generation\": 1").contains("\"connectionLimit\": 3")
+    }
+
     /** Guards against rules that are lost when only the inventory is loaded, and the other way round. */
     @Test
     fun `what no file is named for stays`() {
