--- /dev/null
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/processes/ChildProcesses.kt
@@ -0,0 +1,81 @@
+package dev.hibiscusreach.systemtests.processes
+
+import java.io.File
+import java.nio.file.Path
+import java.util.concurrent.TimeUnit
+
+/** The processes that a test has started. They write to files in [folder]; closing ends exactly these processes. */
+internal class ChildProcesses(private val folder: Path) : AutoCloseable {
+    private val processes = mutableMapOf<String, Process>()
+
+    // Ends the processes also if the tests are interrupted.
+    private val hook = Thread { processes.values.forEach { it.destroyForcibly() } }.also(
+        Runtime.getRuntime()::addShutdownHook
+    )
+
+    /** Starts a program of this test's class path under [name]. */
+    fun start(name: String, program: Program, arguments: List<String>): Process {
+        val command = listOf(JAVA) + program.options + listOf("-cp", CLASS_PATH, program.mainClass) + arguments
+        val process =
+            ProcessBuilder(command)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(output(name)))
+                .redirectError(ProcessBuilder.Redirect.appendTo(errors(name)))
+                .start()
+        processes[name] = process
+        return process
+    }
+
+    /** Runs a program to its end. */
+    fun run(name: String, program: Program, arguments: List<String>): FinishedProcess =
+        finish(name, start(name, program, arguments))
+
+    /** Waits for the end of a [process] that was started under [name]. */
+    fun finish(name: String, process: Process): FinishedProcess {
+        check(process.waitFor(RUN_SECONDS, TimeUnit.SECONDS)) { "$name did not end within $RUN_SECONDS s" }
+        return FinishedProcess(process.exitValue(), output(name).readText(), errors(name).readText())
+    }
+
+    /** Sends SIGKILL and waits for the end. */
+    fun kill(name: String) {
+        val process = processes.getValue(name).destroyForcibly()
+        check(process.waitFor(END_SECONDS, TimeUnit.SECONDS)) { "$name was not killed" }
+    }
+
+    /** Sends a signal by name, such as STOP. */
+    fun signal(name: String, signal: String) {
+        val kill = ProcessBuilder("kill", "-$signal", processes.getValue(name).pid().toString()).start()
+        check(kill.waitFor(END_SECONDS, TimeUnit.SECONDS) && kill.exitValue() == 0) { "$name got no $signal" }
+    }
+
+    /** Whether the process started under [name] runs. */
+    fun isAlive(name: String): Boolean = processes.getValue(name).isAlive
+
+    override fun close() {
+        processes.values.forEach { it.destroyForcibly() }
+        processes.values.forEach { it.waitFor(END_SECONDS, TimeUnit.SECONDS) }
+        Runtime.getRuntime().removeShutdownHook(hook)
+    }
+
+    private fun output(name: String): File = folder.resolve("$name.out").toFile()
+
+    private fun errors(name: String): File = folder.resolve("$name.err").toFile()
+
+    private companion object {
+        const val RUN_SECONDS = 60L
+        const val END_SECONDS = 5L
+        val JAVA: String = Path.of(System.getProperty("java.home"), "bin", "java").toString()
+        val CLASS_PATH: String = System.getProperty("java.class.path")
+    }
+}
+
+/** What a process left behind. */
+internal data class FinishedProcess(val exitCode: Int, val output: String, val errors: String)
+
+/** A main class with small options, so that a whole fleet fits on a developer's machine. */
+internal enum class Program(val mainClass: String, heap: String) {
+    HIBISCUSREACH("dev.hibiscusreach.daemon.MainKt", heap = "96m"),
+    STANDINS("dev.hibiscusreach.standins.command.MainKt", heap = "128m"),
+    ;
+
+    val options: List<String> = listOf("-Xmx$heap", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto")
+}
