Serve sessions on the users' platform through an adapter

The module sessions decides on caller sessions, server connections, leases and changes of primaries as one reducer.

--- a/daemon/src/main/kotlin/dev/hibiscusreach/daemon/LogSetup.kt
+++ b/daemon/src/main/kotlin/dev/hibiscusreach/daemon/LogSetup.kt
@@ -14,16 +14,20 @@
 import org.slf4j.LoggerFactory
 
 /** Sets the log up in code, which starts faster than reading a file. */
-internal object LogSetup {
+object LogSetup {
     private const val PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %-5level [%thread] %logger{0} - %msg %kvp%n"
 
     /** Only warnings, on the standard error stream, so that the output of commands stays clean. */
     fun forCommands() = configure(LogSettings(threshold = LogThreshold.WARN), target = "System.err")
 
-    /** The log of a running proxy, on the standard output stream. */
-    fun forProxy(settings: LogSettings) = configure(settings, target = "System.out")
+    /** The log of a running proxy, on the standard output stream. Never blocks: see [DroppingAppender]. */
+    fun forProxy(settings: LogSettings): DroppingAppender {
+        val appender = DroppingAppender()
+        configure(settings, target = "System.out", appender)
+        return appender
+    }
 
-    private fun configure(settings: LogSettings, target: String) {
+    private fun configure(settings: LogSettings, target: String, queue: DroppingAppender? = null) {
         val context = LoggerFactory.getILoggerFactory() as LoggerContext
         context.reset()
         val appender = ConsoleAppender<ILoggingEvent>()
@@ -33,7 +37,14 @@
         appender.start()
         val root = context.getLogger(Logger.ROOT_LOGGER_NAME)
         root.level = Level.toLevel(settings.threshold.name)
-        root.addAppender(appender)
+        if (queue == null) {
+            root.addAppender(appender)
+        } else {
+            queue.context = context
+            queue.addAppender(appender)
+            queue.start()
+            root.addAppender(queue)
+        }
     }
 
     private fun encoder(format: LogFormat, context: LoggerContext): Encoder<ILoggingEvent> =
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpCall.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpCall.kt
@@ -5,7 +5,7 @@
 import dev.hibiscusreach.core.model.Millis
 
 /** An HTTP request without its destination. */
-internal class HttpMessage(
+class HttpMessage(
     val method: String,
     val path: String,
     val body: String = "",
@@ -13,7 +13,7 @@
 )
 
 /** One HTTP/1.1 request to [endpoint]. */
-internal class HttpCall(
+class HttpCall(
     val endpoint: Endpoint,
     val message: HttpMessage,
     val timeout: Millis,
@@ -22,7 +22,7 @@
 )
 
 /** How an [HttpCall] ended. */
-internal sealed interface HttpOutcome {
+sealed interface HttpOutcome {
     /** The whole response arrived. */
     data class Answered(val status: Int, val body: String) : HttpOutcome
 
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpCaller.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpCaller.kt
@@ -9,7 +9,7 @@
  * Makes HTTP calls over keep-alive connections, each with one call at a time. All calls run on one thread of [group],
  * so that the connections need no locks.
  */
-internal class HttpCaller(
+class HttpCaller(
     group: EventLoopGroup,
     private val maximumResponseBytes: Int,
 ) : AutoCloseable {
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpListener.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpListener.kt
@@ -15,9 +15,10 @@
     Exception("cannot listen at $address: ${cause.message}", cause)
 
 /** Opens listening sockets. */
-internal object HttpListener {
+object HttpListener {
     private const val BACKLOG = 1_024
 
+    /** Listens at [address]; each accepted channel gets [pipeline]. */
     fun bind(group: EventLoopGroup, address: Endpoint, pipeline: ChannelInitializer<SocketChannel>): Channel {
         val bound =
             ServerBootstrap()
@@ -34,6 +35,7 @@
         return bound.channel()
     }
 
+    /** The address at which [channel] listens. */
     fun endpoint(channel: Channel): Endpoint {
         val address = channel.localAddress() as InetSocketAddress
         return Endpoint(address.address.hostAddress, address.port)
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/telemetry/Metrics.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/telemetry/Metrics.kt
@@ -22,7 +22,7 @@
 
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val counters = ConcurrentHashMap<CounterKey, Counter>()
-    private val latencies = ConcurrentHashMap<String, Timer>()
+    private val latencies = ConcurrentHashMap<CounterKey, Timer>()
     private val reductions = Timer.builder("hibiscusreach.loop.event").register(registry)
 
     /** Adds [amount] to a counter with one label. */
@@ -43,11 +43,16 @@
 
     override fun answered(answer: CallerAnswer, nanos: Long) {
         val result = if (answer is CallerAnswer.Refused) answer.kind.label else "completed"
+        observe("hibiscusreach.request.latency", result, nanos)
+    }
+
+    /** Records a duration in the latency histogram [name] under the label `result`. */
+    fun observe(name: String, result: String, nanos: Long) {
         latencies
-            .computeIfAbsent(result) {
+            .computeIfAbsent(CounterKey(name, "result", result)) {
                 Timer
-                    .builder("hibiscusreach.request.latency")
-                    .tag("result", it)
+                    .builder(name)
+                    .tag(it.label, it.value)
                     .publishPercentileHistogram()
                     .register(registry)
             }.record(nanos, TimeUnit.NANOSECONDS)
--- /dev/null
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEvent.kt
@@ -0,0 +1,150 @@
+package dev.hibiscusreach.sessions.event
+
+import dev.hibiscusreach.core.event.ConnectionFailure
+import dev.hibiscusreach.core.event.ConnectionNumber
+import dev.hibiscusreach.core.model.DatabaseName
+import dev.hibiscusreach.core.model.Endpoint
+import dev.hibiscusreach.core.model.MonotonicTime
+import dev.hibiscusreach.core.model.ServerName
+import dev.hibiscusreach.sessions.model.CallerStatement
+import dev.hibiscusreach.sessions.model.FleetKey
+import dev.hibiscusreach.sessions.model.GroupName
+import dev.hibiscusreach.sessions.model.PeerAnswer
+import dev.hibiscusreach.sessions.model.PeerRequest
+import dev.hibiscusreach.sessions.model.RegisteredServer
+import dev.hibiscusreach.sessions.model.RoutingConfiguration
+import dev.hibiscusreach.sessions.model.ServerAnswer
+import dev.hibiscusreach.sessions.model.ServerFailure
+import dev.hibiscusreach.sessions.model.ServerStatus
+import dev.hibiscusreach.sessions.model.StoredRecord
+
+/** One caller session; unique within a process and never reused. */
+@JvmInline
+value class SessionNumber(val value: Long)
+
+/** One request of a peer that waits for an answer; unique within a process. */
+@JvmInline
+value class PeerRequestNumber(val value: Long)
+
+/** Subjects of the timer service. */
+enum class TimerSubject {
+    /** Deadlines of statements and transactions. */
+    REQUESTS,
+
+    /** Head positions, suspicion and changes of primaries. */
+    GROUPS,
+
+    /** The lease on the group records. */
+    LEASE,
+}
+
+/** Something that happened, as input of the reducer. */
+sealed interface SessionEvent {
+    /** The process has started. */
+    data object Started : SessionEvent
+
+    /** A caller asks for a session. */
+    data class SessionRequested(val session: SessionNumber, val database: DatabaseName) : SessionEvent
+
+    /** A caller sent a statement; the earlier one has been answered. */
+    data class StatementArrived(
+        val session: SessionNumber,
+        val identifier: String,
+        val statement: CallerStatement,
+    ) : SessionEvent
+
+    /** A session's connection has ended. */
+    data class SessionEnded(val session: SessionNumber) : SessionEvent
+
+    /** A server accepted a connection. */
+    data class ConnectionOpened(val connection: ConnectionNumber) : SessionEvent
+
+    /** A server refused a connection with a reason. */
+    data class ConnectionRefused(val connection: ConnectionNumber, val failure: ServerFailure) : SessionEvent
+
+    /** A connection broke or could not be established. */
+    data class ConnectionLost(val connection: ConnectionNumber, val failure: ConnectionFailure) : SessionEvent
+
+    /** A server answered the oldest outstanding statement of a connection. */
+    data class ServerAnswered(val connection: ConnectionNumber, val answer: ServerAnswer) : SessionEvent
+
+    /** The operators' configuration was read. */
+    data class ConfigurationRead(val configuration: RoutingConfiguration) : SessionEvent
+
+    /** The list of registered servers was read or has changed. */
+    data class ServersRead(val servers: Map<ServerName, RegisteredServer>) : SessionEvent
+
+    /** The fleet's records were read with a call that was sent at [sentAt]. */
+    data class FleetRead(val sentAt: MonotonicTime, val records: Map<FleetKey, StoredRecord>) : SessionEvent
+
+    /** The fleet's records could not be read. */
+    data class FleetUnreadable(val reason: String) : SessionEvent
+
+    /** A write of a fleet record has ended. */
+    data class FleetWritten(val key: FleetKey, val outcome: WriteOutcome) : SessionEvent
+
+    /** A peer asks something. */
+    data class PeerAsked(val number: PeerRequestNumber, val request: PeerRequest) : SessionEvent
+
+    /** A peer answered, or failed to. */
+    data class PeerAnswered(val peer: Endpoint, val request: PeerRequest, val outcome: PeerOutcome) : SessionEvent
+
+    /** A control command to a server has ended. [status] is null if it failed. */
+    data class ControlAnswered(val server: ServerName, val command: ControlRequest, val status: ServerStatus?) :
+        SessionEvent
+
+    /** The platform answered a promotion order. */
+    data class PromotionAnswered(val group: GroupName, val server: ServerName, val outcome: PromotionOutcome) :
+        SessionEvent
+
+    /** A subscribed time has come. */
+    data class TimerFired(val subject: TimerSubject) : SessionEvent
+
+    /** The process was asked to stop. */
+    data object StopRequested : SessionEvent
+}
+
+/** An event with the time at which it is handled. */
+data class TimedSessionEvent(val now: MonotonicTime, val event: SessionEvent)
+
+/** How a write to the store ended. */
+sealed interface WriteOutcome {
+    /** The record has [revision] now. */
+    data class Written(val revision: Long) : WriteOutcome
+
+    /** The record had another revision. */
+    data object Conflict : WriteOutcome
+
+    /** No answer; the write may take effect later. */
+    data object Unknown : WriteOutcome
+}
+
+/** How a request to a peer ended. */
+sealed interface PeerOutcome {
+    /** The peer answered. */
+    data class Answered(val answer: PeerAnswer) : PeerOutcome
+
+    /** The peer's host refuses connections, so no process of that peer runs. */
+    data object NotRunning : PeerOutcome
+
+    /** No answer in time. */
+    data object Silent : PeerOutcome
+}
+
+/** How an order to promote ended. */
+enum class PromotionOutcome { ACCEPTED, REJECTED, UNKNOWN }
+
+/** A command to one server outside of any session. */
+sealed interface ControlRequest {
+    /** Asks for the status. */
+    data object Status : ControlRequest
+
+    /** Makes a primary of a term below [term] a replica. */
+    data class StepDown(val term: Long) : ControlRequest
+
+    /** Stops a replica from receiving until it is promoted or resumed. */
+    data class Pause(val term: Long) : ControlRequest
+
+    /** Lets a paused replica receive again. */
+    data object Resume : ControlRequest
+}
--- /dev/null
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/CallerStatement.kt
@@ -0,0 +1,36 @@
+package dev.hibiscusreach.sessions.model
+
+import dev.hibiscusreach.core.model.Access
+
+/** A statement of a caller's session, decoded from the caller's protocol. */
+sealed interface CallerStatement {
+    /** Opens a transaction; one that only reads may run on a replica. */
+    data class Begin(val readOnly: Boolean) : CallerStatement
+
+    /** Commits the open transaction. */
+    data object Commit : CallerStatement
+
+    /** Rolls the open transaction back. */
+    data object Rollback : CallerStatement
+
+    /** Sets a session value. */
+    data class SetValue(val name: String, val value: String) : CallerStatement
+
+    /** Gives [shape] a name within the session. */
+    data class Prepare(val name: String, val shape: PreparedShape) : CallerStatement
+
+    /** Forgets a prepared name. */
+    data class Deallocate(val name: String) : CallerStatement
+
+    /** Runs text as it stands at a server. */
+    data class Run(val access: Access, val text: String) : CallerStatement
+
+    /** Runs the statement prepared as [name]. */
+    data class Execute(val name: String, val arguments: String) : CallerStatement
+
+    /** Text that is none of the above. */
+    data class Unknown(val reason: String) : CallerStatement
+}
+
+/** What a prepared name stands for. */
+data class PreparedShape(val access: Access, val shape: String)
--- /dev/null
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/FleetRecords.kt
@@ -0,0 +1,88 @@
+package dev.hibiscusreach.sessions.model
+
+import dev.hibiscusreach.core.model.Endpoint
+import dev.hibiscusreach.core.model.ServerName
+import dev.hibiscusreach.core.model.Term
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Identity of one run of a proxy. A restart keeps the node's name and has another incarnation. */
+@Serializable
+data class ProxyIdentity(val node: String, val incarnation: Long)
+
+/** A record that proxies share through the platform's store. */
+@Serializable
+sealed interface FleetRecord {
+    /** Who leads a group. Every change of primary has a higher [epoch]. */
+    @Serializable
+    @SerialName("group")
+    data class Group(
+        val group: String,
+        val epoch: Long,
+        val term: Term,
+        val primary: ServerName,
+        /** The proxy that replaces the primary; null while the primary is in office. */
+        val changedBy: ProxyIdentity? = null,
+    ) : FleetRecord
+
+    /** A running proxy. It may use primaries only while this record exists. */
+    @Serializable
+    @SerialName("proxy")
+    data class Proxy(val identity: ProxyIdentity, val peerEndpoint: Endpoint) : FleetRecord
+
+    /** The proxy that may order promotions; null if none may. */
+    @Serializable
+    @SerialName("promoter")
+    data class Promoter(val holder: ProxyIdentity?) : FleetRecord
+}
+
+/** Name of a [FleetRecord] within the store. */
+@JvmInline
+value class FleetKey(val value: String) {
+    companion object {
+        /** The only key of a [FleetRecord.Promoter]. */
+        val PROMOTER: FleetKey = FleetKey("promoter")
+
+        /** The key of a group's record. */
+        fun group(name: GroupName): FleetKey = FleetKey("group.${name.value}")
+
+        /** The key of a proxy's record. */
+        fun proxy(node: String): FleetKey = FleetKey("proxy.$node")
+    }
+}
+
+/** A record with its revision in the store; revisions of all records increase together. */
+data class StoredRecord(val record: FleetRecord, val revision: Long)
+
+/** A message between two proxies. */
+@Serializable
+sealed interface PeerRequest {
+    /** Asks the receiver to stop using the primary that served before [epoch]. */
+    @Serializable
+    @SerialName("fence")
+    data class Fence(val group: String, val epoch: Long, val planned: Boolean) : PeerRequest
+
+    /** Asks when the receiver last heard from a server. */
+    @Serializable
+    @SerialName("sighting")
+    data class Sighting(val server: ServerName) : PeerRequest
+
+    /** Tells that a group has a new primary. */
+    @Serializable
+    @SerialName("publish")
+    data class Publish(val record: FleetRecord.Group, val revision: Long) : PeerRequest
+}
+
+/** The answer to a [PeerRequest]. */
+@Serializable
+sealed interface PeerAnswer {
+    /** The request was carried out. */
+    @Serializable
+    @SerialName("done")
+    data object Done : PeerAnswer
+
+    /** Milliseconds since the server last answered the sender; null if it never did. */
+    @Serializable
+    @SerialName("seen")
+    data class Seen(val ageMillis: Long?) : PeerAnswer
+}
--- /dev/null
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Failures.kt
@@ -0,0 +1,119 @@
+package dev.hibiscusreach.sessions.part
+
+import dev.hibiscusreach.core.model.Access
+import dev.hibiscusreach.core.model.ErrorKind
+import dev.hibiscusreach.core.model.ServerName
+import dev.hibiscusreach.sessions.event.SessionCounter
+import dev.hibiscusreach.sessions.model.CallerStatement
+import dev.hibiscusreach.sessions.model.ServerAnswer
+import dev.hibiscusreach.sessions.model.ServerFailure
+import dev.hibiscusreach.sessions.model.SessionReply
+import dev.hibiscusreach.sessions.model.TransactionStatus
+import dev.hibiscusreach.sessions.state.PendingStatement
+import dev.hibiscusreach.sessions.state.PendingStatement.Phase
+import dev.hibiscusreach.sessions.state.ServerConnection
+import dev.hibiscusreach.sessions.state.Session
+import dev.hibiscusreach.sessions.state.Transaction
+
+/** Decides between another try and an answer when a statement fails. */
+internal object Failures {
+    /** Refuses a pending statement that has not run. */
+    fun refuse(turn: Turn, session: Session, pending: PendingStatement, kind: ErrorKind, message: String) {
+        turn.stopWaiting(pending.route.group, session.number)
+        val next = afterRefusal(session, pending)
+        Replies.pending(turn, next, pending, Replies.refusal(turn, next, kind, message))
+    }
+
+    /** Tries a statement outside of a running transaction at another server, or answers with the failure. */
+    fun retryElsewhere(
+        turn: Turn,
+        session: Session,
+        pending: PendingStatement,
+        server: ServerName,
+        failed: ServerAnswer.Result.Failed,
+    ) {
+        noteFailure(turn, server, failed.failure)
+        val harmless = failed.failure.notRun || isRead(session, pending)
+        if (harmless && hasTime(turn, pending)) {
+            turn.count(SessionCounter.RETRIES, failed.failure.name.lowercase())
+            val excluded = pending.copy(excluded = pending.excluded + server, attempts = maxOf(1, pending.attempts))
+            val next = excluded.copy(attempts = excluded.attempts + if (pending.phase is Phase.Beginning) 1 else 0)
+            val sameServer = ServerSelection.needsPrimary(session, pending)
+            Dispatch.requeue(turn, session, next, turn.settings.requests.pause.takeIf { sameServer })
+        } else {
+            val ended = afterRefusal(session, pending)
+            val status = ended.transaction.status
+            val reply = SessionReply.ServerFailed(failed.code, failed.message, status, position = null)
+            Replies.pending(turn, ended, pending, reply)
+        }
+    }
+
+    /** Handles a failed statement of a running transaction. */
+    fun inTransaction(
+        turn: Turn,
+        connection: ServerConnection,
+        session: Session,
+        pending: PendingStatement,
+        answer: ServerAnswer,
+        failed: ServerAnswer.Result.Failed,
+        running: Transaction.Running,
+    ) {
+        val commits = pending.statement is CallerStatement.Commit
+        val stillOpen = answer.status == TransactionStatus.OPEN
+        val overloaded = failed.failure == ServerFailure.OVERLOADED
+        when {
+            overloaded && stillOpen && hasTime(turn, pending) -> {
+                turn.count(SessionCounter.RETRIES, "overloaded")
+                val at = turn.now + turn.settings.requests.pause
+                turn.put(session.copy(pending = pending.copy(phase = Phase.Repeating(connection.number, at))))
+            }
+            stillOpen && !commits && !failed.failure.notRun -> {
+                val next = session.copy(transaction = running.copy(usedAt = turn.now))
+                reply(turn, next, pending, answer, failed)
+            }
+            else -> {
+                Answers.giveBack(turn, connection, answer)
+                val ended = if (commits) Transaction.None else Transaction.Failed
+                reply(turn, session.copy(transaction = ended), pending, answer, failed)
+            }
+        }
+    }
+
+    /** Whether another try may start: attempts are left, and the statement's time is not over. */
+    fun hasTime(turn: Turn, pending: PendingStatement): Boolean {
+        val changing = Primaries.changing(turn.group(pending.route.group))
+        return pending.attempts < turn.settings.requests.attempts && turn.now < pending.waitsUntil(turn, changing)
+    }
+
+    /** Whether running the statement twice does no harm. */
+    fun isRead(session: Session, pending: PendingStatement): Boolean =
+        pending.access == Access.READ && session.transaction !is Transaction.Running
+
+    private fun afterRefusal(session: Session, pending: PendingStatement): Session =
+        when (session.transaction) {
+            is Transaction.None -> session
+            else -> {
+                val commits = pending.statement is CallerStatement.Commit
+                session.copy(transaction = if (commits) Transaction.None else Transaction.Failed)
+            }
+        }
+
+    private fun reply(
+        turn: Turn,
+        session: Session,
+        pending: PendingStatement,
+        answer: ServerAnswer,
+        failed: ServerAnswer.Result.Failed,
+    ) {
+        val status = session.transaction.status
+        val reply = SessionReply.ServerFailed(failed.code, failed.message, status, answer.position)
+        Replies.pending(turn, session, pending, reply)
+    }
+
+    private fun noteFailure(turn: Turn, server: ServerName, failure: ServerFailure) {
+        if (failure == ServerFailure.BEHIND) {
+            val until = turn.now + turn.settings.connections.behindPause
+            turn.updateHealth(server) { it.copy(behindUntil = until) }
+        }
+    }
+}
--- /dev/null
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Losses.kt
@@ -0,0 +1,121 @@
+package dev.hibiscusreach.sessions.part
+
+import dev.hibiscusreach.core.event.ConnectionFailure
+import dev.hibiscusreach.core.model.ErrorKind
+import dev.hibiscusreach.sessions.event.SessionCounter
+import dev.hibiscusreach.sessions.event.SessionEvent
+import dev.hibiscusreach.sessions.model.CallerStatement
+import dev.hibiscusreach.sessions.model.ServerFailure
+import dev.hibiscusreach.sessions.state.PendingStatement
+import dev.hibiscusreach.sessions.state.PendingStatement.Phase
+import dev.hibiscusreach.sessions.state.ServerConnection
+import dev.hibiscusreach.sessions.state.Session
+import dev.hibiscusreach.sessions.state.Transaction
+
+/** Handles connections that open, are refused, break, or are given up. */
+internal object Losses {
+    fun opened(turn: Turn, event: SessionEvent.ConnectionOpened) {
+        val connection = turn.state.connections[event.connection] ?: return
+        Pools.put(turn, connection.copy(open = true))
+        Pools.markAnswered(turn, connection.server)
+        turn.updateHealth(connection.server) {
+            if (it.connectPause != null) logReachable(turn, connection)
+            it.copy(connectPause = null, connectAfter = null, refusedAt = null)
+        }
+        Dispatch.serveWaiting(turn, connection.group)
+    }
+
+    fun refused(turn: Turn, event: SessionEvent.ConnectionRefused) {
+        val connection = turn.state.connections[event.connection] ?: return
+        Pools.remove(turn, connection)
+        Pools.markAnswered(turn, connection.server)
+        Pools.pauseOpening(turn, connection.server)
+        turn.count(SessionCounter.CONNECTIONS, "refused")
+        turn.log(
+            "connection refused by server",
+            "server" to connection.server,
+            "reason" to event.failure.name,
+        )
+        if (event.failure == ServerFailure.WRONG_SERVER) Servers.forget(turn, connection.server)
+    }
+
+    fun lost(turn: Turn, event: SessionEvent.ConnectionLost) {
+        val connection = turn.state.connections[event.connection] ?: return
+        Pools.remove(turn, connection)
+        turn.count(SessionCounter.CONNECTIONS, "lost")
+        turn.log(
+            "connection lost",
+            "server" to connection.server,
+            "connection" to connection.number.value,
+            "wasOpen" to connection.open,
+            "reason" to event.failure.name,
+        )
+        if (!connection.open) Pools.pauseOpening(turn, connection.server)
+        if (event.failure == ConnectionFailure.REFUSED) {
+            turn.updateHealth(connection.server) { it.copy(refusedAt = turn.now) }
+        }
+        afterLoss(turn, connection)
+        Dispatch.serveWaiting(turn, connection.group)
+    }
+
+    /** Closes a connection whose state is in doubt. */
+    fun closeBroken(turn: Turn, connection: ServerConnection) {
+        Pools.close(turn, connection)
+        afterLoss(turn, connection)
+    }
+
+    private fun afterLoss(turn: Turn, connection: ServerConnection) {
+        val session = connection.heldBy?.let { turn.session(it) } ?: return
+        val pending = session.pending
+        val running = session.transaction as? Transaction.Running
+        when {
+            running != null && pending != null -> lostInTransaction(turn, session, pending, running)
+            running != null -> {
+                val message = "the transaction's server connection was lost"
+                val aborted = Transaction.Aborted(ErrorKind.TRANSACTION_ENDED, message)
+                turn.put(session.copy(transaction = aborted))
+            }
+            pending != null -> lostStatement(turn, session, pending, connection)
+        }
+    }
+
+    private fun lostInTransaction(
+        turn: Turn,
+        session: Session,
+        pending: PendingStatement,
+        running: Transaction.Running,
+    ) {
+        val commits = pending.statement is CallerStatement.Commit
+        val sent = pending.phase is Phase.Sent
+        val kind = if (commits && running.wrote && sent) ErrorKind.OUTCOME_UNKNOWN else ErrorKind.TRANSACTION_ENDED
+        val next = session.copy(transaction = if (commits) Transaction.None else Transaction.Failed)
+        val message = "the transaction's server connection was lost"
+        Replies.pending(turn, next, pending, Replies.refusal(turn, next, kind, message))
+    }
+
+    private fun lostStatement(
+        turn: Turn,
+        session: Session,
+        pending: PendingStatement,
+        connection: ServerConnection,
+    ) {
+        val harmless = pending.phase is Phase.Beginning || Failures.isRead(session, pending)
+        when {
+            !harmless -> {
+                val message = "the server connection was lost before the write was answered"
+                val reply = Replies.refusal(turn, session, ErrorKind.OUTCOME_UNKNOWN, message)
+                Replies.pending(turn, session, pending, reply)
+            }
+            Failures.hasTime(turn, pending) -> {
+                turn.count(SessionCounter.RETRIES, "connection-lost")
+                val next = pending.copy(excluded = pending.excluded + connection.server)
+                Dispatch.requeue(turn, session, next)
+            }
+            else ->
+                Failures.refuse(turn, session, pending, ErrorKind.SERVER_UNREACHABLE, "the server connection was lost")
+        }
+    }
+
+    private fun logReachable(turn: Turn, connection: ServerConnection) =
+        turn.log("server reachable again", "server" to connection.server)
+}
--- /dev/null
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Primaries.kt
@@ -0,0 +1,67 @@
+package dev.hibiscusreach.sessions.part
+
+import dev.hibiscusreach.core.model.Millis
+import dev.hibiscusreach.core.model.MonotonicTime
+import dev.hibiscusreach.core.model.Position
+import dev.hibiscusreach.core.model.ServerName
+import dev.hibiscusreach.sessions.model.Consistency
+import dev.hibiscusreach.sessions.model.GroupName
+import dev.hibiscusreach.sessions.state.GroupView
+import dev.hibiscusreach.sessions.state.HeadSample
+import dev.hibiscusreach.sessions.state.PendingStatement
+import dev.hibiscusreach.sessions.state.Session
+import dev.hibiscusreach.sessions.state.Transaction
+
+/** Which server leads a group, and how fresh a read has to be. */
+internal object Primaries {
+    private const val NO_MARGIN = 0L
+    private const val KEPT_HEADS = 64
+
+    /** The primary, if it may be used now: the record is stable, not fenced, and the lease holds. */
+    fun usable(turn: Turn, group: GroupView, margin: Millis = Millis(NO_MARGIN)): ServerName? {
+        val record = group.record ?: return null
+        val fenced = record.changedBy != null || (group.fence?.epoch ?: 0) > record.epoch
+        return record.primary.takeIf { !fenced && leaseHolds(turn, margin) && it in turn.state.servers }
+    }
+
+    /** Whether no change of primary can have been completed without this proxy's consent. */
+    fun leaseHolds(turn: Turn, margin: Millis = Millis(NO_MARGIN)): Boolean {
+        val from = turn.state.fleet.leaseFrom ?: return false
+        return turn.now + margin < from + turn.settings.leases.duration
+    }
+
+    /** Whether a change of the group's primary is under way. */
+    fun changing(group: GroupView): Boolean =
+        group.change != null ||
+            group.record?.changedBy != null ||
+            (group.fence?.epoch ?: 0) > (group.record?.epoch ?: 0)
+
+    /** Records that the primary's log ended at or after [position] when it answered something sent at [sentAt]. */
+    fun sampled(turn: Turn, name: GroupName, sentAt: MonotonicTime, position: Position) {
+        val group = turn.group(name)
+        val latest = group.heads.lastOrNull()
+        if (latest != null && latest.sentAt >= sentAt) return
+        val heads = group.heads.add(HeadSample(sentAt, position))
+        turn.put(group.copy(heads = if (heads.size > KEPT_HEADS) heads.removeAt(0) else heads))
+    }
+
+    /**
+     * The position that a server must have applied so that a read at it is fresh enough; null if that is not known.
+     * The oldest sample that satisfies the bound is taken, because the most replicas have reached it.
+     */
+    fun minimumPosition(turn: Turn, session: Session, pending: PendingStatement): Position? {
+        val from = (session.transaction as? Transaction.Begun)?.begunAt ?: pending.arrivedAt
+        val name = pending.route.group
+        return when (val consistency = pending.route.consistency) {
+            Consistency.Primary -> null
+            is Consistency.Bounded -> headAt(turn, name, from - consistency.maximumAge)
+            is Consistency.OwnWrites -> {
+                val own = session.ownCommit?.takeIf { it.group == name }?.position
+                headAt(turn, name, from - consistency.maximumAge)?.let { maxOf(it, own ?: it) }
+            }
+        }
+    }
+
+    private fun headAt(turn: Turn, name: GroupName, time: MonotonicTime): Position? =
+        turn.group(name).heads.firstOrNull { it.sentAt >= time }?.position
+}
--- /dev/null
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Suspicions.kt
@@ -0,0 +1,128 @@
+package dev.hibiscusreach.sessions.part
+
+import dev.hibiscusreach.core.event.ServerRole
+import dev.hibiscusreach.core.model.Endpoint
+import dev.hibiscusreach.core.model.Millis
+import dev.hibiscusreach.sessions.event.PeerOutcome
+import dev.hibiscusreach.sessions.event.SessionEffect
+import dev.hibiscusreach.sessions.event.SessionEvent
+import dev.hibiscusreach.sessions.model.FleetRecord
+import dev.hibiscusreach.sessions.model.GroupName
+import dev.hibiscusreach.sessions.model.PeerAnswer
+import dev.hibiscusreach.sessions.model.PeerRequest
+import dev.hibiscusreach.sessions.state.ChangeReason
+import dev.hibiscusreach.sessions.state.GroupView
+import dev.hibiscusreach.sessions.state.Suspicion
+
+/** Decides when a primary is to be replaced, together with what the other proxies see. */
+internal object Suspicions {
+    fun review(turn: Turn, name: GroupName) {
+        val group = turn.group(name)
+        val record = group.record ?: return
+        if (record.changedBy != null || group.change != null || !mayAct(turn, group)) return
+        val reason = reason(turn, group, record)
+        when {
+            reason == null -> if (group.suspicion != null) clear(turn, group)
+            group.suspicion == null -> turn.put(group.copy(suspicion = Suspicion(turn.now, reason)))
+            else -> pursue(turn, group, group.suspicion, record)
+        }
+    }
+
+    fun reported(turn: Turn, event: SessionEvent.PeerAnswered, request: PeerRequest.Sighting) {
+        for (group in turn.state.groups.values) {
+            val suspicion = group.suspicion ?: continue
+            if (group.record?.primary == request.server && event.peer in suspicion.asked) {
+                val reports = suspicion.reports + (event.peer to event.outcome)
+                turn.put(group.copy(suspicion = suspicion.copy(reports = reports)))
+            }
+        }
+    }
+
+    private fun mayAct(turn: Turn, group: GroupView): Boolean {
+        val settled = group.changeAfter?.let { turn.now >= it } ?: true
+        return settled && Primaries.leaseHolds(turn) && !turn.state.fleet.lost && turn.state.stoppingSince == null
+    }
+
+    private fun clear(turn: Turn, group: GroupView) {
+        turn.log("primary no longer suspected", "group" to group.name, "primary" to group.record?.primary)
+        turn.put(group.copy(suspicion = null))
+    }
+
+    private fun reason(turn: Turn, group: GroupView, record: FleetRecord.Group): ChangeReason? {
+        val changes = turn.settings.changes
+        val health = turn.health(record.primary)
+        val server = turn.state.server(record.primary)
+        val silence = health.silentSince?.let { turn.now - it } ?: Millis(0)
+        val refusedAt = health.refusedAt
+        val deposed = health.notPrimaryAt != null && server?.role == ServerRole.REPLICA
+        val adopted = group.adoptedAt ?: turn.now
+        return when {
+            server == null && turn.now - adopted > changes.suspicion -> ChangeReason.UNREGISTERED
+            refusedAt != null && silence > changes.refusedSuspicion -> ChangeReason.REFUSING
+            silence > changes.suspicion -> ChangeReason.SILENT
+            deposed -> ChangeReason.DEPOSED
+            server?.leaving == true -> ChangeReason.LEAVING
+            else -> null
+        }
+    }
+
+    private fun pursue(
+        turn: Turn,
+        group: GroupView,
+        suspicion: Suspicion,
+        record: FleetRecord.Group,
+    ) {
+        val rank = Ranks.own(turn, group.name) ?: return
+        val due = suspicion.since + turn.settings.changes.rankDelay * rank
+        when {
+            turn.now < due -> Unit
+            !suspicion.reason.needsSightings -> Changes.begin(turn, group.name, suspicion.reason)
+            suspicion.askedAt == null -> ask(turn, group, suspicion, record)
+            isComplete(turn, suspicion) -> decide(turn, group, suspicion)
+        }
+    }
+
+    private fun ask(turn: Turn, group: GroupView, suspicion: Suspicion, record: FleetRecord.Group) {
+        val peers = peers(turn)
+        turn.log("primary suspected", "group" to group.name, "primary" to record.primary, "reason" to suspicion.reason.description)
+        turn.put(group.copy(suspicion = suspicion.copy(askedAt = turn.now, asked = peers)))
+        peers.forEach { turn.emit(SessionEffect.AskPeer(it, PeerRequest.Sighting(record.primary))) }
+    }
+
+    private fun isComplete(turn: Turn, suspicion: Suspicion): Boolean {
+        val askedAt = suspicion.askedAt ?: return false
+        return suspicion.reports.keys.containsAll(suspicion.asked) ||
+            turn.now - askedAt > turn.settings.changes.sightings
+    }
+
+    // A primary is replaced if the proxies that reach it are fewer than those that do not.
+    private fun decide(turn: Turn, group: GroupView, suspicion: Suspicion) {
+        val answers =
+            suspicion.reports.values
+                .mapNotNull { (it as? PeerOutcome.Answered)?.answer as? PeerAnswer.Seen }
+        val recent = turn.settings.changes.recentSighting.value
+        val seen = answers.count { seen -> seen.ageMillis?.let { it < recent } ?: false }
+        val unseen = answers.size - seen + 1
+        turn.log(
+            "primary sightings",
+            "group" to group.name,
+            "reached" to seen,
+            "notReached" to unseen,
+            "asked" to suspicion.asked.size,
+        )
+        if (seen >= unseen) {
+            val after = turn.now + turn.settings.changes.pause
+            turn.put(group.copy(suspicion = null, changeAfter = after))
+        } else {
+            Changes.begin(turn, group.name, suspicion.reason)
+        }
+    }
+
+    /** The peer endpoints of all other proxies. */
+    fun peers(turn: Turn): Set<Endpoint> =
+        turn.state.fleet.records.values
+            .mapNotNull { it.record as? FleetRecord.Proxy }
+            .filter { it.identity.node != turn.state.place.identity.node }
+            .map { it.peerEndpoint }
+            .toSet()
+}
--- /dev/null
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/ServerConnection.kt
@@ -0,0 +1,61 @@
+package dev.hibiscusreach.sessions.state
+
+import dev.hibiscusreach.core.event.ConnectionNumber
+import dev.hibiscusreach.core.model.Millis
+import dev.hibiscusreach.core.model.MonotonicTime
+import dev.hibiscusreach.core.model.ServerName
+import dev.hibiscusreach.sessions.event.SessionNumber
+import dev.hibiscusreach.sessions.model.GroupName
+import dev.hibiscusreach.sessions.model.PreparedShape
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+
+/** A pooled connection to a server. */
+data class ServerConnection(
+    val number: ConnectionNumber,
+    val server: ServerName,
+    val group: GroupName,
+    val open: Boolean = false,
+    /** The session whose statement or transaction holds the connection. */
+    val heldBy: SessionNumber? = null,
+    val values: PersistentMap<String, String> = persistentMapOf(),
+    val prepared: PersistentSet<PreparedShape> = persistentSetOf(),
+    /** Statements without an answer, oldest first. */
+    val outstanding: PersistentList<Outstanding> = persistentListOf(),
+) {
+    /** Whether a session can take the connection. */
+    val idle: Boolean get() = open && heldBy == null && outstanding.isEmpty()
+}
+
+/** A statement that a server has not answered yet. */
+data class Outstanding(
+    val purpose: Purpose,
+    val sentAt: MonotonicTime,
+    /** Whether the server was the primary under a valid lease when the statement was sent. */
+    val toPrimary: Boolean,
+) {
+    /** What the statement is for. */
+    enum class Purpose { SETUP, BEGIN, CALLER, ROLLBACK, PROBE }
+}
+
+/** What is known of a server from its own answers. */
+data class ServerHealth(
+    val answeredAt: MonotonicTime? = null,
+    /** When the server was first asked something that it has not answered. */
+    val silentSince: MonotonicTime? = null,
+    /** Smoothed duration of its statements. */
+    val latency: Millis? = null,
+    /** No new connection before this time. */
+    val connectAfter: MonotonicTime? = null,
+    val connectPause: Millis? = null,
+    /** When its host last refused a connection. */
+    val refusedAt: MonotonicTime? = null,
+    /** No reads that need a position before this time. */
+    val behindUntil: MonotonicTime? = null,
+    /** When it last reported that it does not lead its group. */
+    val notPrimaryAt: MonotonicTime? = null,
+)
--- /dev/null
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/Session.kt
@@ -0,0 +1,101 @@
+package dev.hibiscusreach.sessions.state
+
+import dev.hibiscusreach.core.event.ConnectionNumber
+import dev.hibiscusreach.core.model.Access
+import dev.hibiscusreach.core.model.DatabaseName
+import dev.hibiscusreach.core.model.ErrorKind
+import dev.hibiscusreach.core.model.MonotonicTime
+import dev.hibiscusreach.core.model.Position
+import dev.hibiscusreach.core.model.ServerName
+import dev.hibiscusreach.sessions.event.SessionNumber
+import dev.hibiscusreach.sessions.model.CallerStatement
+import dev.hibiscusreach.sessions.model.GroupName
+import dev.hibiscusreach.sessions.model.PreparedShape
+import dev.hibiscusreach.sessions.model.Route
+import dev.hibiscusreach.sessions.model.TransactionStatus
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+
+/** One caller session. */
+data class Session(
+    val number: SessionNumber,
+    val database: DatabaseName,
+    val values: PersistentMap<String, String> = persistentMapOf(),
+    val prepared: PersistentMap<String, PreparedShape> = persistentMapOf(),
+    /** Where the session's latest commit stands; reads of the session must see it. */
+    val ownCommit: OwnCommit? = null,
+    val transaction: Transaction = Transaction.None,
+    val pending: PendingStatement? = null,
+)
+
+/** Position of a session's latest commit. */
+data class OwnCommit(val group: GroupName, val position: Position)
+
+/** The transaction of a session. */
+sealed interface Transaction {
+    /** State that the caller is told. */
+    val status: TransactionStatus
+
+    /** No transaction is open. */
+    data object None : Transaction {
+        override val status: TransactionStatus get() = TransactionStatus.NONE
+    }
+
+    /** The caller has begun; no server takes part yet. */
+    data class Begun(val readOnly: Boolean, val begunAt: MonotonicTime, val route: Route) : Transaction {
+        override val status: TransactionStatus get() = TransactionStatus.OPEN
+    }
+
+    /** The transaction holds a server connection. */
+    data class Running(
+        val begun: Begun,
+        val connection: ConnectionNumber,
+        val wrote: Boolean,
+        val usedAt: MonotonicTime,
+    ) : Transaction {
+        override val status: TransactionStatus get() = TransactionStatus.OPEN
+    }
+
+    /** The transaction was ended by the proxy; the caller does not know yet. */
+    data class Aborted(val kind: ErrorKind, val message: String) : Transaction {
+        override val status: TransactionStatus get() = TransactionStatus.FAILED
+    }
+
+    /** The transaction failed and the caller knows. */
+    data object Failed : Transaction {
+        override val status: TransactionStatus get() = TransactionStatus.FAILED
+    }
+}
+
+/** A statement that needs a server and has not been answered. */
+data class PendingStatement(
+    val identifier: String,
+    val statement: CallerStatement,
+    val access: Access,
+    val route: Route,
+    val arrivedAt: MonotonicTime,
+    val phase: Phase = Phase.Waiting(),
+    val attempts: Int = 0,
+    /** Servers that could not serve the statement. */
+    val excluded: Set<ServerName> = emptySet(),
+) {
+    /** How far the statement has come. */
+    sealed interface Phase {
+        /** Waits for a connection, not before [notBefore]. */
+        data class Waiting(val notBefore: MonotonicTime? = null) : Phase
+
+        /** The transaction is being opened at a server. */
+        data class Beginning(val connection: ConnectionNumber, val sentAt: MonotonicTime) : Phase
+
+        /** A server has the statement. */
+        data class Sent(
+            val connection: ConnectionNumber,
+            val sentAt: MonotonicTime,
+            /** Epoch of the group's record when the statement was sent. */
+            val epoch: Long,
+        ) : Phase
+
+        /** The server of the open transaction was overloaded; the statement goes to it again at [at]. */
+        data class Repeating(val connection: ConnectionNumber, val at: MonotonicTime) : Phase
+    }
+}
--- /dev/null
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
@@ -0,0 +1,124 @@
+package dev.hibiscusreach.sessions.state
+
+import dev.hibiscusreach.core.model.FailureDomainName
+import dev.hibiscusreach.core.model.Endpoint
+import dev.hibiscusreach.core.model.Millis
+import dev.hibiscusreach.core.model.RegionName
+import dev.hibiscusreach.core.model.inSeconds
+import dev.hibiscusreach.core.model.milliseconds
+import dev.hibiscusreach.sessions.model.ProxyIdentity
+
+/** Where this proxy runs. */
+data class ProxyPlace(
+    val identity: ProxyIdentity,
+    val peerEndpoint: Endpoint,
+    val failureDomain: FailureDomainName,
+    val regions: Map<FailureDomainName, RegionName>,
+)
+
+/** Limits and periods of the decisions on sessions. */
+data class SessionSettings(
+    val requests: RequestSettings = RequestSettings(),
+    val connections: ConnectionSettings = ConnectionSettings(),
+    val leases: LeaseSettings = LeaseSettings(),
+    val changes: ChangeSettings = ChangeSettings(),
+    val drain: DrainSettings = DrainSettings(),
+)
+
+/** Limits on statements. */
+data class RequestSettings(
+    /** Period of the deadline checks; half of the shortest pause before a retry. */
+    val review: Millis = 25.milliseconds,
+    /** Tries of a statement that is known not to have run, or that only reads. */
+    val attempts: Int = 4,
+    /** Pause before a statement goes to the same overloaded server again; about one statement's work. */
+    val pause: Millis = 50.milliseconds,
+    /** A server that answers nothing for this long is silent; above the slowest statement on a healthy server. */
+    val silence: Millis = 800.milliseconds,
+    /** Part of the latency objective, in percent, that a statement may wait for a connection. */
+    val waitPercent: Int = 50,
+    /** Retry advice when no primary is in office; about the time that a change of primary takes. */
+    val primaryRetry: Millis = 500.milliseconds,
+    /** Retry advice under overload; a few statements' work. */
+    val overloadRetry: Millis = 200.milliseconds,
+)
+
+/** Limits on connections to servers. */
+data class ConnectionSettings(
+    /** Part of a server's connection limit, in percent, that all proxies together keep open for sessions. */
+    val sharePercent: Int = 85,
+    /** First pause after a failed connection; doubles up to [longestPause]. */
+    val firstPause: Millis = 200.milliseconds,
+    val longestPause: Millis = 1600.milliseconds,
+    /** A replica that lacked a position is not asked for it again for this long; several times its usual lag. */
+    val behindPause: Millis = 200.milliseconds,
+    /** A server whose entry is missing for longer is gone; entries return within two seconds of an outage. */
+    val missingLimit: Millis = 3.inSeconds,
+    /** Extra cost of a server in another failure domain or region, in milliseconds of latency. */
+    val domainPenalty: Millis = 15.milliseconds,
+    val regionPenalty: Millis = 60.milliseconds,
+    /** Expected duration of a statement at a server that has not answered one yet. */
+    val expectedLatency: Millis = 30.milliseconds,
+)
+
+/** The lease that allows a proxy to use primaries. */
+data class LeaseSettings(
+    /** Validity of a read of the fleet records; longer than the usual outages of the store. */
+    val duration: Millis = 10.inSeconds,
+    /** Period of the reads. */
+    val renewal: Millis = 2500.milliseconds,
+    /** Pause after a failed read. */
+    val retry: Millis = 500.milliseconds,
+    /** Validity that must be left when a write is sent; longer than writes take under load. */
+    val writeMargin: Millis = 500.milliseconds,
+)
+
+/** Limits on changes of primaries. */
+data class ChangeSettings(
+    /** Period of the reviews of groups. */
+    val review: Millis = 100.milliseconds,
+    /** A primary's position is asked for again after this long, so that replicas serve bounded reads. */
+    val probe: Millis = 500.milliseconds,
+    /** A primary without an answer for this long is suspected. */
+    val suspicion: Millis = 1200.milliseconds,
+    /** A primary whose host refuses connections is suspected after this long without an answer. */
+    val refusedSuspicion: Millis = 300.milliseconds,
+    /** Time for peers to report their sightings of a primary. */
+    val sightings: Millis = 350.milliseconds,
+    /** A sighting is recent if it is younger than this. */
+    val recentSighting: Millis = 800.milliseconds,
+    /** Delay for each proxy that precedes this one, so that one proxy usually acts. */
+    val rankDelay: Millis = 200.milliseconds,
+    /** Pause after a change that was not carried out. */
+    val pause: Millis = 1000.milliseconds,
+    /** Time for statements in flight when a primary is replaced because of a failure. */
+    val failureGrace: Millis = 100.milliseconds,
+    /** Time for transactions in flight when a primary is replaced as planned. */
+    val plannedGrace: Millis = 500.milliseconds,
+    /** Time between repetitions of fence requests and status requests. */
+    val repeat: Millis = 300.milliseconds,
+    /** Time for servers to report their status before the most advanced one is chosen. */
+    val inspection: Millis = 600.milliseconds,
+    /** Time for a successor to receive the whole log in a planned change. */
+    val catchUp: Millis = 2.inSeconds,
+    /** Age up to which the right to promote is used after it was acquired. */
+    val dutyUse: Millis = 3.inSeconds,
+    /** Age after which another proxy takes the right to promote over; well above [dutyUse]. */
+    val dutyTakeover: Millis = 5.inSeconds,
+    /** Time after which an order to promote without an effect is repeated. */
+    val promotion: Millis = 2500.milliseconds,
+    /** Time after which another proxy continues a change that makes no progress. */
+    val takeover: Millis = 5.inSeconds,
+    /** Time after which the proxy that changes a primary is asked whether it still runs. */
+    val takeoverCheck: Millis = 1500.milliseconds,
+)
+
+/** Phases of a graceful shutdown, counted from the request to stop. */
+data class DrainSettings(
+    /** Idle sessions are closed after this long, when the load balancer has noticed. */
+    val closeIdle: Millis = 2300.milliseconds,
+    /** Open transactions are ended after this long. */
+    val endTransactions: Millis = 3500.milliseconds,
+    /** The process ends after this long at the latest. */
+    val exit: Millis = 5300.milliseconds,
+)
