Serve sessions that are accepted last before a stop, and expel silent proxies

It now stops listening first and ends 200 ms later, when no session is open. Silent proxies are now expelled after 3 s, a change is taken over only from a proxy that does not run or has lost the store, and the members are read again after the intent is recorded, so that a proxy that joined meanwhile is fenced as well.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEffect.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEffect.kt
@@ -71,6 +71,9 @@
     /** Records how long a statement took. */
     data class Observe(val kind: String, val duration: Millis) : SessionEffect
 
+    /** Accepts no more sessions; those that are open go on. */
+    data object StopListening : SessionEffect
+
     /** Ends the process. */
     data object Exit : SessionEffect
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/FleetRecords.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/FleetRecords.kt
@@ -25,10 +25,15 @@
         val changedBy: ProxyIdentity? = null,
     ) : FleetRecord
 
-    /** A running proxy. It may use primaries only while this record exists. */
+    /** A running proxy. It renews its lease on primaries only while this record exists and is not [expelled]. */
     @Serializable
     @SerialName("proxy")
-    data class Proxy(val identity: ProxyIdentity, val peerEndpoint: Endpoint) : FleetRecord
+    data class Proxy(
+        val identity: ProxyIdentity,
+        val peerEndpoint: Endpoint,
+        /** Whether another proxy found this one silent. It registers again if it still runs. */
+        val expelled: Boolean = false,
+    ) : FleetRecord
 
     /** The proxy that may order promotions; null if none may. */
     @Serializable
@@ -67,6 +72,11 @@
     @SerialName("sighting")
     data class Sighting(val server: ServerName) : PeerRequest
 
+    /** Asks whether the receiver runs. */
+    @Serializable
+    @SerialName("ping")
+    data object Ping : PeerRequest
+
     /** Tells that a group has a new primary. */
     @Serializable
     @SerialName("publish")
@@ -81,6 +91,11 @@
     @SerialName("done")
     data object Done : PeerAnswer
 
+    /** The sender runs, but does not reach the store. */
+    @Serializable
+    @SerialName("storeLost")
+    data object StoreLost : PeerAnswer
+
     /** Milliseconds since the server last answered the sender; null if it never did. */
     @Serializable
     @SerialName("seen")
--- /dev/null
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/AbandonedChanges.kt
@@ -0,0 +1,55 @@
+package dev.hibiscusreach.sessions.part
+
+import dev.hibiscusreach.core.model.Endpoint
+import dev.hibiscusreach.sessions.event.PeerOutcome
+import dev.hibiscusreach.sessions.event.SessionEffect
+import dev.hibiscusreach.sessions.event.SessionEvent
+import dev.hibiscusreach.sessions.model.FleetKey
+import dev.hibiscusreach.sessions.model.FleetRecord
+import dev.hibiscusreach.sessions.model.PeerAnswer
+import dev.hibiscusreach.sessions.model.PeerRequest
+import dev.hibiscusreach.sessions.state.ChangeReason
+import dev.hibiscusreach.sessions.state.GroupView
+
+/** Watches changes that other proxies carry out, and continues those that they have left. */
+internal object AbandonedChanges {
+    /** Asks the proxy that changes the primary whether it goes on, and takes the change over if it does not. */
+    fun review(turn: Turn, group: GroupView) {
+        val changes = turn.settings.changes
+        val rank = Ranks.own(turn, group.name) ?: return
+        val delay = changes.rankDelay * rank
+        val adoptedAt = group.adoptedAt ?: turn.now
+        val seenAt = maxOf(adoptedAt, group.changerSeenAt ?: adoptedAt)
+        val askedAt = group.changerAskedAt?.takeIf { it > adoptedAt } ?: adoptedAt
+        when {
+            turn.state.fleet.lost || turn.state.stoppingSince != null -> Unit
+            turn.now - seenAt > changes.takeover + delay ->
+                Changes.begin(turn, group.name, ChangeReason.ABANDONED)
+            turn.now - askedAt > changes.takeoverCheck -> {
+                turn.put(group.copy(changerAskedAt = turn.now))
+                changer(turn, group)?.let { turn.emit(SessionEffect.AskPeer(it, PeerRequest.Ping)) }
+                Leases.read(turn)
+            }
+        }
+    }
+
+    /** Handles the answer to the question whether the proxy that changes a primary goes on. */
+    fun changerAnswered(turn: Turn, event: SessionEvent.PeerAnswered) {
+        turn.state.groups.values
+            .filter { it.change == null && changer(turn, it) == event.peer }
+            .forEach { group ->
+                when (val outcome = event.outcome) {
+                    PeerOutcome.NotRunning -> Changes.begin(turn, group.name, ChangeReason.ABANDONED)
+                    PeerOutcome.Silent -> Unit
+                    is PeerOutcome.Answered ->
+                        if (outcome.answer is PeerAnswer.Done) turn.put(group.copy(changerSeenAt = turn.now))
+                }
+            }
+    }
+
+    private fun changer(turn: Turn, group: GroupView): Endpoint? =
+        group.record?.changedBy?.let { changer ->
+            val stored = turn.state.fleet.records[FleetKey.proxy(changer.node)]
+            (stored?.record as? FleetRecord.Proxy)?.peerEndpoint
+        }
+}
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Deadlines.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Deadlines.kt
@@ -24,7 +24,7 @@
 
     /** Ends a running transaction between two statements; the caller is told at its next statement. */
     fun endTransaction(turn: Turn, session: Session, running: Transaction.Running, message: String) {
-        Pools.rollback(turn, running.connection)
+        PoolUse.rollback(turn, running.connection)
         turn.log("transaction ended", "session" to session.number.value, "reason" to message)
         turn.put(session.copy(transaction = Transaction.Aborted(ErrorKind.TRANSACTION_ENDED, message)))
     }
@@ -43,7 +43,7 @@
             is Phase.Repeating -> {
                 val running = session.transaction as? Transaction.Running
                 if (running != null && turn.now >= phase.at) {
-                    Dispatch.sendInTransaction(turn, session, pending, running)
+                    Sending.inTransaction(turn, session, pending, running)
                 }
             }
         }
@@ -65,7 +65,7 @@
     }
 
     private fun reviewSent(turn: Turn, session: Session, pending: PendingStatement) {
-        val connection = Pools.heldBy(pending)?.let { turn.state.connections[it] } ?: return
+        val connection = PoolUse.heldBy(pending)?.let { turn.state.connections[it] } ?: return
         val expired = turn.now - pending.arrivedAt > pending.route.statementTimeout
         when {
             expired -> expire(turn, session, pending, connection.server)
@@ -74,10 +74,10 @@
         }
     }
 
+    // A server that was silent before the statement was sent gets the whole time for it.
     private fun isSilent(turn: Turn, server: ServerName, pending: PendingStatement): Boolean {
         val sentAt = (pending.phase as? Phase.Sent)?.sentAt ?: return false
-        val silentSince = turn.health(server).silentSince ?: return false
-        return turn.now - maxOf(sentAt, silentSince) > turn.settings.requests.silence
+        return HealthNotes.isSilent(turn, server) && turn.now - sentAt > turn.settings.requests.silence
     }
 
     private fun expire(turn: Turn, session: Session, pending: PendingStatement, server: ServerName) {
@@ -87,7 +87,7 @@
         val began = pending.phase !is Phase.Beginning
         val kind = if (changes && began) ErrorKind.OUTCOME_UNKNOWN else ErrorKind.DEADLINE_EXCEEDED
         turn.log("statement timed out", "request" to pending.identifier, "server" to server)
-        Pools.heldBy(pending)?.let { turn.state.connections[it] }?.let { Pools.close(turn, it) }
+        PoolUse.heldBy(pending)?.let { turn.state.connections[it] }?.let { Pools.close(turn, it) }
         val inTransaction = session.transaction !is Transaction.None
         val ended = if (inTransaction && !commits) Transaction.Failed else Transaction.None
         val next = session.copy(transaction = ended)
@@ -100,7 +100,7 @@
 internal fun Turn.sessionsAt(group: GroupName, server: ServerName): List<Session> =
     state.active.mapNotNull { session(it) }.filter { session ->
         val running = (session.transaction as? Transaction.Running)?.connection
-        val held = running ?: Pools.heldBy(session.pending)
+        val held = running ?: PoolUse.heldBy(session.pending)
         val connection = held?.let { state.connections[it] }
         connection?.server == server && connection.group == group
     }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Dispatch.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Dispatch.kt
@@ -1,10 +1,7 @@
 package dev.hibiscusreach.sessions.part
 
-import dev.hibiscusreach.core.model.ErrorKind
 import dev.hibiscusreach.core.model.Millis
-import dev.hibiscusreach.core.model.Position
 import dev.hibiscusreach.sessions.event.SessionNumber
-import dev.hibiscusreach.sessions.model.CallerStatement
 import dev.hibiscusreach.sessions.model.GroupName
 import dev.hibiscusreach.sessions.model.ServerStatement
 import dev.hibiscusreach.sessions.state.Outstanding.Purpose
@@ -21,29 +18,11 @@
     fun start(turn: Turn, session: Session, pending: PendingStatement) {
         val running = session.transaction as? Transaction.Running
         when {
-            running != null -> sendInTransaction(turn, session, pending, running)
+            running != null -> Sending.inTransaction(turn, session, pending, running)
             !assign(turn, session, pending) -> enqueue(turn, session, pending)
         }
     }
 
-    /** Sends a statement on the connection of its transaction. */
-    fun sendInTransaction(turn: Turn, session: Session, pending: PendingStatement, running: Transaction.Running) {
-        val connection = turn.state.connections[running.connection]
-        val commits = pending.statement is CallerStatement.Commit && running.wrote
-        when {
-            connection == null -> {
-                val message = "the transaction's server connection was lost"
-                abort(turn, session, pending, message)
-            }
-            commits && !mayCommit(turn, connection) -> {
-                Pools.rollback(turn, connection.number)
-                abort(turn, session, pending, "the transaction's server is not the primary any more")
-            }
-            // The position was checked when the transaction began.
-            else -> sendStatement(turn, session, pending, connection, minimumPosition = null)
-        }
-    }
-
     /** Puts a statement back into the queue, not before [pause] from now if one is given. */
     fun requeue(turn: Turn, session: Session, pending: PendingStatement, pause: Millis? = null) {
         val waiting = pending.copy(phase = Phase.Waiting(pause?.let { turn.now + it }))
@@ -65,22 +44,6 @@
         }
     }
 
-    /** Sends the statement itself on a connection that the session holds. */
-    fun sendStatement(
-        turn: Turn,
-        session: Session,
-        pending: PendingStatement,
-        connection: ServerConnection,
-        minimumPosition: Position?,
-    ) {
-        val statement = serverStatement(session, pending, minimumPosition)
-        val (prepared, setup) = SessionSetup.statements(connection, session, statement)
-        val epoch = turn.group(connection.group).record?.epoch ?: 0
-        val sent = pending.copy(phase = Phase.Sent(connection.number, turn.now, epoch), attempts = pending.attempts + 1)
-        turn.put(session.copy(pending = sent))
-        Pools.send(turn, prepared, setup.map { Purpose.SETUP to it } + (Purpose.CALLER to statement))
-    }
-
     // A statement with a higher priority goes first, then the one whose objective ends first.
     private fun rank(turn: Turn, number: SessionNumber): Long {
         val pending = turn.session(number)?.pending ?: return 0
@@ -90,20 +53,21 @@
 
     private fun assign(turn: Turn, session: Session, pending: PendingStatement): Boolean {
         val notBefore = (pending.phase as? Phase.Waiting)?.notBefore
-        if (notBefore != null && turn.now < notBefore) return false
-        val candidates = ServerSelection.candidates(turn, session, pending)
+        val pausing = notBefore != null && turn.now < notBefore
+        val candidates = if (pausing) emptyList() else ServerSelection.candidates(turn, session, pending)
         candidates.firstOrNull()?.let { best ->
             if (Pools.connections(turn, best.server.name).none { it.idle || !it.open }) Pools.open(turn, best.server)
         }
-        for (candidate in candidates) {
-            val idle = Pools.connections(turn, candidate.server.name).filter { it.idle }
-            val connection = idle.find { it.values == session.values } ?: idle.firstOrNull()
-            if (connection != null) {
-                hand(turn, session, pending, Pools.hold(turn, connection, session.number), candidate)
-                return true
-            }
-        }
-        return false
+        val choice = candidates.firstNotNullOfOrNull { choose(turn, session, it) } ?: return false
+        hand(turn, session, pending, PoolUse.hold(turn, choice.first, session.number), choice.second)
+        return true
+    }
+
+    // A connection that has the session's values already needs no statements to set them.
+    private fun choose(turn: Turn, session: Session, candidate: Candidate): Pair<ServerConnection, Candidate>? {
+        val idle = Pools.connections(turn, candidate.server.name).filter { it.idle }
+        val connection = idle.find { it.values == session.values } ?: idle.firstOrNull()
+        return connection?.let { it to candidate }
     }
 
     private fun hand(
@@ -115,12 +79,12 @@
     ) {
         val begun = session.transaction as? Transaction.Begun
         if (begun == null) {
-            sendStatement(turn, session, pending, connection, candidate.minimumPosition)
+            Sending.statement(turn, session, pending, connection, candidate.minimumPosition)
         } else {
             val (prepared, setup) = SessionSetup.statements(connection, session, statement = null)
             val begin = ServerStatement.Begin(begun.readOnly, candidate.minimumPosition)
             turn.put(session.copy(pending = pending.copy(phase = Phase.Beginning(connection.number, turn.now))))
-            Pools.send(turn, prepared, setup.map { Purpose.SETUP to it } + (Purpose.BEGIN to begin))
+            PoolUse.send(turn, prepared, setup.map { Purpose.SETUP to it } + (Purpose.BEGIN to begin))
         }
     }
 
@@ -137,29 +101,6 @@
         }
     }
 
-    private fun serverStatement(session: Session, pending: PendingStatement, minimumPosition: Position?): ServerStatement =
-        when (val statement = pending.statement) {
-            is CallerStatement.Run -> ServerStatement.Run(pending.identifier, statement.text, minimumPosition)
-            is CallerStatement.Execute ->
-                ServerStatement.Execute(
-                    identifier = pending.identifier,
-                    shape = session.prepared.getValue(statement.name),
-                    arguments = statement.arguments,
-                    minimumPosition = minimumPosition,
-                )
-            else -> ServerStatement.Commit(pending.identifier)
-        }
-
-    private fun mayCommit(turn: Turn, connection: ServerConnection): Boolean =
-        Primaries.usable(turn, turn.group(connection.group), turn.settings.leases.writeMargin) == connection.server
-
-    private fun abort(turn: Turn, session: Session, pending: PendingStatement, message: String) {
-        val commits = pending.statement is CallerStatement.Commit
-        val next = session.copy(transaction = if (commits) Transaction.None else Transaction.Failed)
-        val reply = Replies.refusal(turn, next, ErrorKind.TRANSACTION_ENDED, message)
-        Replies.pending(turn, next, pending, reply)
-    }
-
     /** A step of priority counts as much as this much time until the objective. */
     private const val PRIORITY_STEP_MILLIS = 200L
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Draining.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Draining.kt
@@ -20,7 +20,16 @@
         val drain = turn.settings.drain
         if (elapsed >= drain.closeIdle) closeIdle(turn)
         if (elapsed >= drain.endTransactions) endTransactions(turn)
-        if (elapsed >= drain.exit || elapsed >= drain.closeIdle && turn.state.sessions.isEmpty()) exit(turn)
+        if (elapsed >= drain.closeIdle && turn.state.sessions.isEmpty()) stopListening(turn)
+        val closed = turn.state.listeningUntil?.let { turn.now - it >= drain.lastSessions } ?: false
+        if (elapsed >= drain.exit || closed && turn.state.sessions.isEmpty()) exit(turn)
+    }
+
+    // A session that is accepted between the last check and the end of the process would be cut.
+    private fun stopListening(turn: Turn) {
+        if (turn.state.listeningUntil != null) return
+        turn.state = turn.state.copy(listeningUntil = turn.now)
+        turn.emit(SessionEffect.StopListening)
     }
 
     private fun closeIdle(turn: Turn) =
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Duties.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Duties.kt
@@ -39,13 +39,11 @@
 
     fun written(turn: Turn, outcome: WriteOutcome) {
         Leases.written(turn, FleetKey.PROMOTER, outcome)
-        if (outcome !is WriteOutcome.Written) return
-        val group =
-            turn.state.groups.values.find { it.change?.phase == ChangePhase.ACQUIRING && it.change.duty != null }
-                ?: return
-        val change = group.change ?: return
-        val requestedAt = change.duty?.requestedAt ?: return
-        promote(turn, group, change.copy(duty = Duty(outcome.revision, requestedAt)))
+        val group = turn.state.groups.values.find { it.change?.phase == ChangePhase.ACQUIRING }
+        val requested = group?.change?.duty
+        if (outcome is WriteOutcome.Written && requested != null) {
+            promote(turn, group, group.change, requested.copy(token = outcome.revision))
+        }
     }
 
     fun answered(turn: Turn, event: SessionEvent.PromotionAnswered) {
@@ -69,16 +67,15 @@
     }
 
     // The right is used only while no other proxy can have taken it over.
-    private fun promote(turn: Turn, group: GroupView, change: PrimaryChange) {
-        val duty = change.duty ?: return
+    private fun promote(turn: Turn, group: GroupView, change: PrimaryChange, duty: Duty) {
         val successor = change.successor ?: return
         if (turn.now - duty.requestedAt > turn.settings.changes.dutyUse) {
             turn.put(group.copy(change = change.copy(duty = null)))
-            return
+        } else {
+            turn.log("promotion ordered", "group" to group.name, "successor" to successor, "fencingToken" to duty.token)
+            Changes.enter(turn, group, change.copy(duty = duty), ChangePhase.PROMOTING)
+            turn.emit(SessionEffect.Promote(group.name, successor, duty.token))
         }
-        turn.log("promotion ordered", "group" to group.name, "successor" to successor, "fencingToken" to duty.token)
-        Changes.enter(turn, group, change, ChangePhase.PROMOTING)
-        turn.emit(SessionEffect.Promote(group.name, successor, duty.token))
     }
 
     private fun release(turn: Turn) {
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Failures.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Failures.kt
@@ -11,7 +11,6 @@
 import dev.hibiscusreach.sessions.model.TransactionStatus
 import dev.hibiscusreach.sessions.state.PendingStatement
 import dev.hibiscusreach.sessions.state.PendingStatement.Phase
-import dev.hibiscusreach.sessions.state.ServerConnection
 import dev.hibiscusreach.sessions.state.Session
 import dev.hibiscusreach.sessions.state.Transaction
 
@@ -32,7 +31,7 @@
         server: ServerName,
         failed: ServerAnswer.Result.Failed,
     ) {
-        noteFailure(turn, server, failed.failure)
+        if (failed.failure == ServerFailure.BEHIND) HealthNotes.behind(turn, server)
         val harmless = failed.failure.notRun || isRead(session, pending)
         if (harmless && hasTime(turn, pending)) {
             turn.count(SessionCounter.RETRIES, failed.failure.name.lowercase())
@@ -49,32 +48,24 @@
     }
 
     /** Handles a failed statement of a running transaction. */
-    fun inTransaction(
-        turn: Turn,
-        connection: ServerConnection,
-        session: Session,
-        pending: PendingStatement,
-        answer: ServerAnswer,
-        failed: ServerAnswer.Result.Failed,
-        running: Transaction.Running,
-    ) {
-        val commits = pending.statement is CallerStatement.Commit
-        val stillOpen = answer.status == TransactionStatus.OPEN
+    fun inTransaction(turn: Turn, statement: AnsweredStatement, failed: ServerAnswer.Result.Failed) {
+        val running = statement.running ?: return
+        val (session, pending) = statement.session to statement.pending
+        val stillOpen = statement.answer.status == TransactionStatus.OPEN
         val overloaded = failed.failure == ServerFailure.OVERLOADED
         when {
             overloaded && stillOpen && hasTime(turn, pending) -> {
                 turn.count(SessionCounter.RETRIES, "overloaded")
                 val at = turn.now + turn.settings.requests.pause
-                turn.put(session.copy(pending = pending.copy(phase = Phase.Repeating(connection.number, at))))
-            }
-            stillOpen && !commits && !failed.failure.notRun -> {
-                val next = session.copy(transaction = running.copy(usedAt = turn.now))
-                reply(turn, next, pending, answer, failed)
+                val repeating = Phase.Repeating(statement.connection.number, at)
+                turn.put(session.copy(pending = pending.copy(phase = repeating)))
             }
+            stillOpen && !statement.commits && !failed.failure.notRun ->
+                reply(turn, session.copy(transaction = running.copy(usedAt = turn.now)), statement, failed)
             else -> {
-                Answers.giveBack(turn, connection, answer)
-                val ended = if (commits) Transaction.None else Transaction.Failed
-                reply(turn, session.copy(transaction = ended), pending, answer, failed)
+                Answers.giveBack(turn, statement.connection, statement.answer)
+                val ended = if (statement.commits) Transaction.None else Transaction.Failed
+                reply(turn, session.copy(transaction = ended), statement, failed)
             }
         }
     }
@@ -101,19 +92,11 @@
     private fun reply(
         turn: Turn,
         session: Session,
-        pending: PendingStatement,
-        answer: ServerAnswer,
+        statement: AnsweredStatement,
         failed: ServerAnswer.Result.Failed,
     ) {
         val status = session.transaction.status
-        val reply = SessionReply.ServerFailed(failed.code, failed.message, status, answer.position)
-        Replies.pending(turn, session, pending, reply)
-    }
-
-    private fun noteFailure(turn: Turn, server: ServerName, failure: ServerFailure) {
-        if (failure == ServerFailure.BEHIND) {
-            val until = turn.now + turn.settings.connections.behindPause
-            turn.updateHealth(server) { it.copy(behindUntil = until) }
-        }
+        val reply = SessionReply.ServerFailed(failed.code, failed.message, status, statement.answer.position)
+        Replies.pending(turn, session, statement.pending, reply)
     }
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupReviews.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupReviews.kt
@@ -25,9 +25,9 @@
 
     /** Handles the status of a server that calls itself the primary of a group without a record. */
     fun statusOfFirst(turn: Turn, event: SessionEvent.ControlAnswered): Boolean {
-        val server = turn.state.server(event.server) ?: return false
+        val server = turn.state.server(event.server)
         val status = event.status
-        if (turn.group(server.group).record != null) return false
+        if (server == null || turn.group(server.group).record != null) return false
         if (status?.role == ServerRole.PRIMARY && turn.state.fleet.readAt != null) {
             val record =
                 FleetRecord.Group(server.group.value, epoch = 1, term = status.term, primary = server.name)
@@ -38,15 +38,20 @@
     }
 
     private fun firstRecord(turn: Turn, group: GroupView) {
-        val fleet = turn.state.fleet
-        val rank = Ranks.own(turn, group.name) ?: return
-        val wait = turn.settings.changes.pause + turn.settings.changes.rankDelay * rank
+        val rank = Ranks.own(turn, group.name)
         val asked = group.statusAskedAt
-        if (asked != null && turn.now - asked < turn.settings.changes.pause || fleet.readAt == null) return
-        if (asked == null && rank > 0) {
-            turn.put(group.copy(statusAskedAt = turn.now + wait - turn.settings.changes.pause))
-            return
+        when {
+            rank == null || turn.state.fleet.readAt == null -> Unit
+            // The others let the first proxy act, and follow if it does not.
+            asked == null && rank > 0 -> {
+                val delay = turn.settings.changes.rankDelay * rank
+                turn.put(group.copy(statusAskedAt = turn.now + delay))
+            }
+            asked == null || turn.now - asked >= turn.settings.changes.pause -> askFirst(turn, group)
         }
+    }
+
+    private fun askFirst(turn: Turn, group: GroupView) {
         val servers = turn.state.servers.values.map { it.server }
         val primary = servers.find { it.group == group.name && it.role == ServerRole.PRIMARY } ?: return
         turn.put(group.copy(statusAskedAt = turn.now))
@@ -70,7 +75,7 @@
         val idle = connections.find { it.idle }
         when {
             probing -> Unit
-            idle != null -> Pools.send(turn, idle, listOf(Purpose.PROBE to ServerStatement.Status))
+            idle != null -> PoolUse.send(turn, idle, listOf(Purpose.PROBE to ServerStatement.Status))
             connections.all { it.open } -> open(turn, primary)
         }
     }
@@ -85,8 +90,10 @@
     /** The number of proxies that come before this one for a group; null if this proxy is not registered. */
     fun own(turn: Turn, group: GroupName): Int? {
         val nodes =
-            turn.state.fleet.records.values
-                .mapNotNull { (it.record as? FleetRecord.Proxy)?.identity?.node }
+            turn.state.fleet
+                .members()
+                .values
+                .map { it.identity.node }
                 .sortedBy { (it + group.value).hashCode() }
         return nodes.indexOf(turn.state.place.identity.node).takeIf { it >= 0 }
     }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Hopeless.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Hopeless.kt
@@ -25,11 +25,8 @@
         }
     }
 
-    private fun isDown(turn: Turn, primary: ServerName?): Boolean {
-        val health = primary?.let { turn.health(it) } ?: return false
-        val silentSince = health.silentSince ?: return false
-        return turn.now - silentSince > turn.settings.requests.silence
-    }
+    private fun isDown(turn: Turn, primary: ServerName?): Boolean =
+        primary != null && HealthNotes.isSilent(turn, primary)
 
     // Every waiting statement before this one takes its share of the group's connections.
     private fun expectedWait(turn: Turn, pending: PendingStatement): Millis {
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Leases.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Leases.kt
@@ -1,6 +1,7 @@
 package dev.hibiscusreach.sessions.part
 
 import dev.hibiscusreach.core.event.LogLevel
+import dev.hibiscusreach.core.model.MonotonicTime
 import dev.hibiscusreach.sessions.event.SessionEffect
 import dev.hibiscusreach.sessions.event.SessionEvent
 import dev.hibiscusreach.sessions.event.TimerSubject
@@ -42,25 +43,28 @@
         val fleet = turn.state.fleet
         if (fleet.lost) turn.log("store regained")
         val own = event.records[FleetKey.proxy(turn.state.place.identity.node)]
-        val registered = (own?.record as? FleetRecord.Proxy)?.identity == turn.state.place.identity
+        val ownRecord = own?.record as? FleetRecord.Proxy
+        val registered = ownRecord?.identity == turn.state.place.identity && !ownRecord.expelled
         if (registered && !fleet.registered) turn.log("proxy registered", "revision" to own?.revision)
         val promoterMoved = event.records[FleetKey.PROMOTER]?.revision != fleet.records[FleetKey.PROMOTER]?.revision
         turn.state =
             turn.state.copy(
                 fleet =
-                    fleet.copy(
-                        records = event.records,
-                        leaseFrom = if (registered) event.sentAt else fleet.leaseFrom,
-                        readAt = turn.now,
-                        registered = registered,
-                        reading = false,
-                        readAgain = false,
-                        lost = false,
-                        promoterSeenAt = if (promoterMoved) turn.now else fleet.promoterSeenAt ?: turn.now,
-                    ),
+                fleet.copy(
+                    records = event.records,
+                    leaseFrom = if (registered) event.sentAt else fleet.leaseFrom,
+                    readAt = turn.now,
+                    registered = registered,
+                    reading = false,
+                    readAgain = false,
+                    lost = false,
+                    promoterSeenAt = if (promoterMoved) turn.now else fleet.promoterSeenAt ?: turn.now,
+                    expelledSince = expelledSince(turn, event.records),
+                ),
             )
         if (!registered && turn.state.stoppingSince == null) register(turn, own)
         adopt(turn, event.records)
+        ChangeFencing.membersRead(turn, event.sentAt)
         if (fleet.readAgain) read(turn)
     }
 
@@ -76,6 +80,11 @@
         }
     }
 
+    private fun expelledSince(turn: Turn, records: Map<FleetKey, StoredRecord>): Map<FleetKey, MonotonicTime> =
+        records
+            .filterValues { (it.record as? FleetRecord.Proxy)?.expelled ?: false }
+            .mapValues { (key, _) -> turn.state.fleet.expelledSince[key] ?: turn.now }
+
     private fun register(turn: Turn, present: StoredRecord?) {
         val place = turn.state.place
         val record = FleetRecord.Proxy(place.identity, place.peerEndpoint)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Losses.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Losses.kt
@@ -17,7 +17,7 @@
     fun opened(turn: Turn, event: SessionEvent.ConnectionOpened) {
         val connection = turn.state.connections[event.connection] ?: return
         Pools.put(turn, connection.copy(open = true))
-        Pools.markAnswered(turn, connection.server)
+        HealthNotes.answered(turn, connection.server)
         turn.updateHealth(connection.server) {
             if (it.connectPause != null) logReachable(turn, connection)
             it.copy(connectPause = null, connectAfter = null, refusedAt = null)
@@ -28,8 +28,8 @@
     fun refused(turn: Turn, event: SessionEvent.ConnectionRefused) {
         val connection = turn.state.connections[event.connection] ?: return
         Pools.remove(turn, connection)
-        Pools.markAnswered(turn, connection.server)
-        Pools.pauseOpening(turn, connection.server)
+        HealthNotes.answered(turn, connection.server)
+        HealthNotes.connectFailed(turn, connection.server)
         turn.count(SessionCounter.CONNECTIONS, "refused")
         turn.log(
             "connection refused by server",
@@ -50,7 +50,7 @@
             "wasOpen" to connection.open,
             "reason" to event.failure.name,
         )
-        if (!connection.open) Pools.pauseOpening(turn, connection.server)
+        if (!connection.open) HealthNotes.connectFailed(turn, connection.server)
         if (event.failure == ConnectionFailure.REFUSED) {
             turn.updateHealth(connection.server) { it.copy(refusedAt = turn.now) }
         }
--- /dev/null
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Publications.kt
@@ -0,0 +1,42 @@
+package dev.hibiscusreach.sessions.part
+
+import dev.hibiscusreach.core.model.ServerName
+import dev.hibiscusreach.core.model.Term
+import dev.hibiscusreach.sessions.event.ControlRequest
+import dev.hibiscusreach.sessions.event.SessionEffect
+import dev.hibiscusreach.sessions.model.FleetKey
+import dev.hibiscusreach.sessions.model.ServerStatus
+import dev.hibiscusreach.sessions.state.ChangePhase
+import dev.hibiscusreach.sessions.state.GroupView
+import dev.hibiscusreach.sessions.state.PrimaryChange
+
+/** Publishes the outcome of a change of primary. */
+internal object Publications {
+    /** Publishes [primary] as the group's primary in [term]. */
+    fun publish(turn: Turn, group: GroupView, change: PrimaryChange, primary: ServerName, term: Term) {
+        val record = group.record ?: return
+        val published = record.copy(term = term, primary = primary, changedBy = null)
+        if (record.primary != primary) stepDown(turn, record.primary, term)
+        val next = Changes.enter(turn, group, change.copy(published = published), ChangePhase.PUBLISHING)
+        next.change?.let { publishAgain(turn, next, it) }
+    }
+
+    /** Writes the record, again if an earlier write was not answered. */
+    fun publishAgain(turn: Turn, group: GroupView, change: PrimaryChange) {
+        val record = change.published ?: return
+        turn.put(group.copy(change = change.copy(repeatedAt = turn.now)))
+        turn.emit(SessionEffect.WriteFleet(FleetKey.group(group.name), record, group.revision))
+    }
+
+    private fun stepDown(turn: Turn, primary: ServerName, term: Term) {
+        val server = turn.state.server(primary) ?: return
+        turn.emit(SessionEffect.SendControl(server, ControlRequest.StepDown(term.number)))
+    }
+
+    /** Leaves the primary in office. */
+    fun keep(turn: Turn, group: GroupView, change: PrimaryChange, incumbent: ServerStatus) {
+        val primary = group.record?.primary ?: return
+        turn.log("primary keeps its office", "group" to group.name, "primary" to primary)
+        publish(turn, group, change, primary, incumbent.term)
+    }
+}
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Replies.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Replies.kt
@@ -50,7 +50,7 @@
 
     private fun logPending(turn: Turn, session: Session, pending: PendingStatement, reply: SessionReply) {
         val group = turn.group(pending.route.group)
-        val connection = Pools.heldBy(pending)?.let { turn.state.connections[it] }
+        val connection = PoolUse.heldBy(pending)?.let { turn.state.connections[it] }
         turn.log(
             if (reply is SessionReply.Completed) "statement served" else "statement not served",
             "request" to pending.identifier,
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ServerSelection.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ServerSelection.kt
@@ -78,8 +78,7 @@
 
     private fun isReachable(turn: Turn, name: ServerName): Boolean {
         val health = turn.health(name)
-        val silent = health.silentSince?.let { turn.now - it > turn.settings.requests.silence } ?: false
         val paused = health.connectAfter?.let { turn.now < it } ?: false
-        return !silent && (!paused || Pools.connections(turn, name).any { it.open })
+        return !HealthNotes.isSilent(turn, name) && (!paused || Pools.connections(turn, name).any { it.open })
     }
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Suspicions.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Suspicions.kt
@@ -1,7 +1,6 @@
 package dev.hibiscusreach.sessions.part
 
 import dev.hibiscusreach.core.event.ServerRole
-import dev.hibiscusreach.core.model.Endpoint
 import dev.hibiscusreach.core.model.Millis
 import dev.hibiscusreach.sessions.event.PeerOutcome
 import dev.hibiscusreach.sessions.event.SessionEffect
@@ -19,7 +18,7 @@
     fun review(turn: Turn, name: GroupName) {
         val group = turn.group(name)
         val record = group.record ?: return
-        if (record.changedBy != null || group.change != null || !mayAct(turn, group)) return
+        if (Primaries.changing(group) || !mayAct(turn, group)) return
         val reason = reason(turn, group, record)
         when {
             reason == null -> if (group.suspicion != null) clear(turn, group)
@@ -83,8 +82,13 @@
     }
 
     private fun ask(turn: Turn, group: GroupView, suspicion: Suspicion, record: FleetRecord.Group) {
-        val peers = peers(turn)
-        turn.log("primary suspected", "group" to group.name, "primary" to record.primary, "reason" to suspicion.reason.description)
+        val peers = Members.peers(turn)
+        turn.log(
+            "primary suspected",
+            "group" to group.name,
+            "primary" to record.primary,
+            "reason" to suspicion.reason.description
+        )
         turn.put(group.copy(suspicion = suspicion.copy(askedAt = turn.now, asked = peers)))
         peers.forEach { turn.emit(SessionEffect.AskPeer(it, PeerRequest.Sighting(record.primary))) }
     }
@@ -117,12 +121,4 @@
             Changes.begin(turn, group.name, suspicion.reason)
         }
     }
-
-    /** The peer endpoints of all other proxies. */
-    fun peers(turn: Turn): Set<Endpoint> =
-        turn.state.fleet.records.values
-            .mapNotNull { it.record as? FleetRecord.Proxy }
-            .filter { it.identity.node != turn.state.place.identity.node }
-            .map { it.peerEndpoint }
-            .toSet()
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/GroupView.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/GroupView.kt
@@ -29,6 +29,8 @@
     val statusAskedAt: MonotonicTime? = null,
     /** When the proxy that changes the primary was last asked whether it runs. */
     val changerAskedAt: MonotonicTime? = null,
+    /** When that proxy last answered that it goes on. */
+    val changerSeenAt: MonotonicTime? = null,
 )
 
 /** Every commit that was acknowledged before [sentAt] is at or before [position]. */
@@ -79,6 +81,10 @@
     val recordedAt: MonotonicTime? = null,
     /** Peers that have not confirmed the fence. */
     val unfenced: Set<Endpoint> = emptySet(),
+    /** Peers that were known when the fence began. */
+    val asked: Set<Endpoint> = emptySet(),
+    /** Whether the members were read after the intent was recorded. */
+    val membersRead: Boolean = false,
     val repeatedAt: MonotonicTime? = null,
     val statuses: Map<ServerName, ServerStatus> = emptyMap(),
     val rejected: Set<ServerName> = emptySet(),
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
@@ -1,10 +1,12 @@
 package dev.hibiscusreach.sessions.state
 
 import dev.hibiscusreach.core.event.ConnectionNumber
+import dev.hibiscusreach.core.model.Endpoint
 import dev.hibiscusreach.core.model.MonotonicTime
 import dev.hibiscusreach.core.model.ServerName
 import dev.hibiscusreach.sessions.event.SessionNumber
 import dev.hibiscusreach.sessions.model.FleetKey
+import dev.hibiscusreach.sessions.model.FleetRecord
 import dev.hibiscusreach.sessions.model.GroupName
 import dev.hibiscusreach.sessions.model.RegisteredServer
 import dev.hibiscusreach.sessions.model.RoutingConfiguration
@@ -35,6 +37,8 @@
     val health: PersistentMap<ServerName, ServerHealth> = persistentMapOf(),
     val nextConnection: Long = 1,
     val stoppingSince: MonotonicTime? = null,
+    /** When the proxy stopped accepting sessions. */
+    val listeningUntil: MonotonicTime? = null,
     val exited: Boolean = false,
 ) {
     /** Whether new callers can be served here. */
@@ -61,4 +65,20 @@
     val lost: Boolean = false,
     /** When the promoter's record was first seen with its present revision. */
     val promoterSeenAt: MonotonicTime? = null,
-)
+    /** When each expelled proxy was first seen as such; its lease ends a lease duration later. */
+    val expelledSince: Map<FleetKey, MonotonicTime> = emptyMap(),
+    /** What the other proxies answered to pings. */
+    val peers: Map<Endpoint, PeerView> = emptyMap(),
+    val pingedAt: MonotonicTime? = null,
+    val nextPing: Int = 0,
+) {
+    /** The other proxies that are not expelled, by their key. */
+    fun members(): Map<FleetKey, FleetRecord.Proxy> =
+        records
+            .mapNotNull { (key, stored) -> (stored.record as? FleetRecord.Proxy)?.let { key to it } }
+            .filter { !it.second.expelled }
+            .toMap()
+}
+
+/** What a peer answered to pings. */
+data class PeerView(val answeredAt: MonotonicTime?, val misses: Int = 0, val missingSince: MonotonicTime? = null)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
@@ -1,7 +1,7 @@
 package dev.hibiscusreach.sessions.state
 
-import dev.hibiscusreach.core.model.FailureDomainName
 import dev.hibiscusreach.core.model.Endpoint
+import dev.hibiscusreach.core.model.FailureDomainName
 import dev.hibiscusreach.core.model.Millis
 import dev.hibiscusreach.core.model.RegionName
 import dev.hibiscusreach.core.model.inSeconds
@@ -69,6 +69,12 @@
     val renewal: Millis = 2500.milliseconds,
     /** Pause after a failed read. */
     val retry: Millis = 500.milliseconds,
+    /** Period in which one peer is pinged. */
+    val ping: Millis = 1000.milliseconds,
+    /** A peer that is silent for this long is expelled; longer than short pauses of a process. */
+    val expulsion: Millis = 3.inSeconds,
+    /** Pings in a row that a peer misses before it is expelled. */
+    val missedPings: Int = 2,
     /** Validity that must be left when a write is sent; longer than writes take under load. */
     val writeMargin: Millis = 500.milliseconds,
 )
@@ -117,6 +123,8 @@
 data class DrainSettings(
     /** Idle sessions are closed after this long, when the load balancer has noticed. */
     val closeIdle: Millis = 2300.milliseconds,
+    /** The process ends this long after it stopped listening, so that sessions accepted last are served. */
+    val lastSessions: Millis = 200.milliseconds,
     /** Open transactions are ended after this long. */
     val endTransactions: Millis = 3500.milliseconds,
     /** The process ends after this long at the latest. */
