--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEffect.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEffect.kt
@@ -59,7 +59,7 @@
     /** Orders the platform to promote a server. [fencingToken] is higher than that of every earlier order. */
     data class Promote(val group: GroupName, val server: ServerName, val fencingToken: Long) : SessionEffect
 
-    /** Subscribes [subject] to the time [delay] from now. */
+    /** Subscribes [subject] to the time [delay] from now, in place of its earlier subscription. */
     data class StartTimer(val subject: TimerSubject, val delay: Millis) : SessionEffect
 
     /** Writes a log line. */
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/FleetRecords.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/FleetRecords.kt
@@ -57,6 +57,7 @@
 }
 
 /** A record with its revision in the store; revisions of all records increase together. */
+@Serializable
 data class StoredRecord(val record: FleetRecord, val revision: Long)
 
 /** A message between two proxies. */
@@ -72,6 +73,14 @@
     @SerialName("sighting")
     data class Sighting(val server: ServerName) : PeerRequest
 
+    /** Asks for the fleet's records as the store shows them to a read that is sent after this request. */
+    @Serializable
+    @SerialName("readFleet")
+    data class ReadFleet(
+        /** Time of the request by the sender's clock, which means nothing to the receiver. */
+        val askedAtMillis: Long,
+    ) : PeerRequest
+
     /** Asks whether the receiver runs. */
     @Serializable
     @SerialName("ping")
@@ -96,6 +105,11 @@
     @SerialName("storeLost")
     data object StoreLost : PeerAnswer
 
+    /** The records that a read of the sender has shown. */
+    @Serializable
+    @SerialName("fleet")
+    data class Fleet(val records: Map<String, StoredRecord>) : PeerAnswer
+
     /** Milliseconds since the server last answered the sender; null if it never did. */
     @Serializable
     @SerialName("seen")
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Dispatch.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Dispatch.kt
@@ -55,14 +55,21 @@
         val notBefore = (pending.phase as? Phase.Waiting)?.notBefore
         val pausing = notBefore != null && turn.now < notBefore
         val candidates = if (pausing) emptyList() else ServerSelection.candidates(turn, session, pending)
-        candidates.firstOrNull()?.let { best ->
-            if (Pools.connections(turn, best.server.name).none { it.idle || !it.open }) Pools.open(turn, best.server)
-        }
+        openFor(turn, pending, candidates)
         val choice = candidates.firstNotNullOfOrNull { choose(turn, session, it) } ?: return false
         hand(turn, session, pending, PoolUse.hold(turn, choice.first, session.number), choice.second)
         return true
     }
 
+    // Opens as many connections as statements wait, at the best server that can take one more.
+    private fun openFor(turn: Turn, pending: PendingStatement, candidates: List<Candidate>) {
+        val waiting = turn.state.waiting[pending.route.group]?.size ?: 0
+        val pools = candidates.map { Pools.connections(turn, it.server.name) }
+        if (pools.firstOrNull().orEmpty().any { it.idle }) return
+        val opening = pools.sumOf { pool -> pool.count { !it.open } }
+        if (opening <= waiting) candidates.firstOrNull { Pools.open(turn, it.server) }
+    }
+
     // A connection that has the session's values already needs no statements to set them.
     private fun choose(turn: Turn, session: Session, candidate: Candidate): Pair<ServerConnection, Candidate>? {
         val idle = Pools.connections(turn, candidate.server.name).filter { it.idle }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/FleetEvents.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/FleetEvents.kt
@@ -42,6 +42,7 @@
                 val age = turn.health(request.server).answeredAt?.let { (turn.now - it).value }
                 turn.emit(SessionEffect.AnswerPeer(number, PeerAnswer.Seen(age)))
             }
+            is PeerRequest.ReadFleet -> Relays.asked(turn, number)
             PeerRequest.Ping -> {
                 val answer = if (turn.state.fleet.lost) PeerAnswer.StoreLost else PeerAnswer.Done
                 turn.emit(SessionEffect.AnswerPeer(number, answer))
@@ -61,6 +62,7 @@
             is PeerRequest.Sighting -> {
                 Suspicions.reported(turn, event, request)
             }
+            is PeerRequest.ReadFleet -> Relays.answered(turn, event, request)
             PeerRequest.Ping -> {
                 Members.answered(turn, event)
                 AbandonedChanges.changerAnswered(turn, event)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Leases.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Leases.kt
@@ -36,7 +36,10 @@
         val fleet = turn.state.fleet
         if (!fleet.lost) turn.log("store lost", "reason" to event.reason, level = LogLevel.WARN)
         turn.state = turn.state.copy(fleet = fleet.copy(reading = false, readAgain = false, lost = true))
-        turn.emit(SessionEffect.StartTimer(TimerSubject.LEASE, turn.settings.leases.retry))
+        Relays.refuse(turn)
+        Relays.ask(turn)
+        val retry = turn.settings.leases.retry
+        turn.emit(SessionEffect.StartTimer(TimerSubject.LEASE, if (fleet.lost) retry * 2 else retry))
     }
 
     fun read(turn: Turn, event: SessionEvent.FleetRead) {
@@ -65,6 +68,7 @@
         if (!registered && turn.state.stoppingSince == null) register(turn, own)
         adopt(turn, event.records)
         ChangeFencing.membersRead(turn, event.sentAt)
+        Relays.serve(turn, event.sentAt)
         if (fleet.readAgain) read(turn)
     }
 
@@ -92,7 +96,8 @@
         turn.emit(SessionEffect.WriteFleet(key, record, present?.revision))
     }
 
-    private fun adopt(turn: Turn, records: Map<FleetKey, StoredRecord>) {
+    /** Takes the groups' records over. */
+    fun adopt(turn: Turn, records: Map<FleetKey, StoredRecord>) {
         for (stored in records.values) {
             val record = stored.record as? FleetRecord.Group ?: continue
             GroupRecords.adopt(turn, GroupName(record.group), record, stored.revision)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Pools.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Pools.kt
@@ -10,6 +10,9 @@
 
 /** The connections to servers. */
 internal object Pools {
+    /** Enough for the first statements; more are opened as statements wait. */
+    private const val WARM_CONNECTIONS = 2
+
     /** All connections to a server. */
     fun connections(turn: Turn, server: ServerName): List<ServerConnection> =
         turn.state.pools[server]
@@ -37,6 +40,18 @@
         return true
     }
 
+    /** Opens the first connections to the primary and to the nearest server of each group, before callers need them. */
+    fun warm(turn: Turn) {
+        val servers = turn.state.servers.values.map { it.server }.filter { !it.leaving }
+        for ((name, members) in servers.groupBy { it.group }) {
+            val primary = members.find { it.name == turn.group(name).record?.primary }
+            val nearest = members.minByOrNull { ServerSelection.cost(turn, it).value }
+            listOfNotNull(primary, nearest).distinct().forEach { server ->
+                if (connections(turn, server.name).size < WARM_CONNECTIONS) open(turn, server)
+            }
+        }
+    }
+
     fun put(turn: Turn, connection: ServerConnection) {
         val state = turn.state
         val pool = (state.pools[connection.server] ?: persistentSetOf()).add(connection.number)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
@@ -4,6 +4,7 @@
 import dev.hibiscusreach.core.model.Endpoint
 import dev.hibiscusreach.core.model.MonotonicTime
 import dev.hibiscusreach.core.model.ServerName
+import dev.hibiscusreach.sessions.event.PeerRequestNumber
 import dev.hibiscusreach.sessions.event.SessionNumber
 import dev.hibiscusreach.sessions.model.FleetKey
 import dev.hibiscusreach.sessions.model.FleetRecord
@@ -65,6 +66,8 @@
     val lost: Boolean = false,
     /** When the promoter's record was first seen with its present revision. */
     val promoterSeenAt: MonotonicTime? = null,
+    /** Peers that wait for the next read, with the time at which they asked. */
+    val relays: Map<PeerRequestNumber, MonotonicTime> = emptyMap(),
     /** When each expelled proxy was first seen as such; its lease ends a lease duration later. */
     val expelledSince: Map<FleetKey, MonotonicTime> = emptyMap(),
     /** What the other proxies answered to pings. */
