--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Dispatch.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Dispatch.kt
@@ -73,7 +73,7 @@
     // A connection that has the session's values already needs no statements to set them.
     private fun choose(turn: Turn, session: Session, candidate: Candidate): Pair<ServerConnection, Candidate>? {
         val idle = Pools.connections(turn, candidate.server.name).filter { it.idle }
-        val connection = idle.find { it.values == session.values } ?: idle.firstOrNull()
+        val connection = idle.find { it.values == session.values } ?: idle.maxByOrNull { it.usedAt?.millis ?: 0 }
         return connection?.let { it to candidate }
     }
 
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupReviews.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupReviews.kt
@@ -18,6 +18,7 @@
     fun review(turn: Turn) {
         val configured = turn.state.configuration?.groups?.keys.orEmpty()
         if (turn.state.ready) Pools.warm(turn)
+        Pools.trim(turn)
         for (name in configured + turn.state.groups.keys) {
             val group = turn.group(name)
             if (group.record == null) firstRecord(turn, group) else inOffice(turn, group)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Losses.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Losses.kt
@@ -29,7 +29,12 @@
         val connection = turn.state.connections[event.connection] ?: return
         Pools.remove(turn, connection)
         HealthNotes.answered(turn, connection.server)
-        HealthNotes.connectFailed(turn, connection.server)
+        if (event.failure == ServerFailure.CONNECTION_LIMIT) {
+            val after = turn.now + turn.settings.connections.limitPause
+            turn.updateHealth(connection.server) { it.copy(connectAfter = after) }
+        } else {
+            HealthNotes.connectFailed(turn, connection.server)
+        }
         turn.count(SessionCounter.CONNECTIONS, "refused")
         turn.log(
             "connection refused by server",
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PoolUse.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PoolUse.kt
@@ -24,7 +24,8 @@
     fun send(turn: Turn, connection: ServerConnection, statements: List<Pair<Purpose, ServerStatement>>) {
         val primary = Primaries.usable(turn, turn.group(connection.group)) == connection.server
         val outstanding = statements.map { (purpose, _) -> Outstanding(purpose, turn.now, primary) }
-        Pools.put(turn, connection.copy(outstanding = connection.outstanding.addAll(outstanding)))
+        val all = connection.outstanding.addAll(outstanding)
+        Pools.put(turn, connection.copy(outstanding = all, usedAt = turn.now))
         HealthNotes.asked(turn, connection.server)
         turn.emit(SessionEffect.SendStatements(connection.number, statements.map { it.second }))
     }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Pools.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Pools.kt
@@ -10,8 +10,8 @@
 
 /** The connections to servers. */
 internal object Pools {
-    /** Enough for the first statements; more are opened as statements wait. */
-    private const val WARM_CONNECTIONS = 2
+    /** More are opened as statements wait. */
+    private const val WARM_CONNECTIONS = 1
 
     /** All connections to a server. */
     fun connections(turn: Turn, server: ServerName): List<ServerConnection> =
@@ -52,6 +52,16 @@
         }
     }
 
+    /** Closes connections that have not been needed lately, but for one of each server. */
+    fun trim(turn: Turn) {
+        val limit = turn.settings.connections.spareLimit
+        for (server in turn.state.pools.keys) {
+            val pool = connections(turn, server)
+            val spare = pool.find { it.idle && turn.now - (it.usedAt ?: turn.now) > limit }
+            if (spare != null && pool.size > WARM_CONNECTIONS) close(turn, spare)
+        }
+    }
+
     fun put(turn: Turn, connection: ServerConnection) {
         val state = turn.state
         val pool = (state.pools[connection.server] ?: persistentSetOf()).add(connection.number)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/ServerConnection.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/ServerConnection.kt
@@ -24,6 +24,8 @@
     val heldBy: SessionNumber? = null,
     val values: PersistentMap<String, String> = persistentMapOf(),
     val prepared: PersistentSet<PreparedShape> = persistentSetOf(),
+    /** When something was last sent. */
+    val usedAt: MonotonicTime? = null,
     /** Statements without an answer, oldest first. */
     val outstanding: PersistentList<Outstanding> = persistentListOf(),
 ) {
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
@@ -47,6 +47,13 @@
 data class ConnectionSettings(
     /** Part of a server's connection limit, in percent, that all proxies together keep open for sessions. */
     val sharePercent: Int = 85,
+    /**
+     * Connections beside the last one of a server are closed after this long without use. A server keeps connections
+     * to hosts that lost power for seconds, so spare ones would shut the restarted hosts out.
+     */
+    val spareLimit: Millis = 1500.milliseconds,
+    /** Pause after a server at its connection limit refused one. */
+    val limitPause: Millis = 250.milliseconds,
     /** First pause after a failed connection; doubles up to [longestPause]. */
     val firstPause: Millis = 200.milliseconds,
     val longestPause: Millis = 1600.milliseconds,
