--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Losses.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Losses.kt
@@ -16,7 +16,7 @@
 internal object Losses {
     fun opened(turn: Turn, event: SessionEvent.ConnectionOpened) {
         val connection = turn.state.connections[event.connection] ?: return
-        Pools.put(turn, connection.copy(open = true))
+        Pools.put(turn, connection.copy(open = true, usedAt = turn.now))
         HealthNotes.answered(turn, connection.server)
         turn.updateHealth(connection.server) {
             if (it.connectPause != null) logReachable(turn, connection)
--- /dev/null
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
@@ -0,0 +1,200 @@
+package dev.hibiscusreach.sessions
+
+import dev.hibiscusreach.core.event.ServerRole
+import dev.hibiscusreach.core.model.Position
+import dev.hibiscusreach.core.model.Term
+import dev.hibiscusreach.sessions.ProxyFixture.Companion.EAST
+import dev.hibiscusreach.sessions.ProxyFixture.Companion.GROUP
+import dev.hibiscusreach.sessions.ProxyFixture.Companion.GROUP_RECORD
+import dev.hibiscusreach.sessions.ProxyFixture.Companion.NEAR_REPLICA
+import dev.hibiscusreach.sessions.ProxyFixture.Companion.PRIMARY
+import dev.hibiscusreach.sessions.ProxyFixture.Companion.SERVERS
+import dev.hibiscusreach.sessions.ProxyFixture.Companion.SIGN_OFFS
+import dev.hibiscusreach.sessions.ProxyFixture.Companion.WRITE
+import dev.hibiscusreach.sessions.ProxyFixture.Companion.endpoint
+import dev.hibiscusreach.sessions.ProxyFixture.Companion.server
+import dev.hibiscusreach.sessions.event.ControlRequest
+import dev.hibiscusreach.sessions.event.PeerOutcome
+import dev.hibiscusreach.sessions.event.PeerRequestNumber
+import dev.hibiscusreach.sessions.event.PromotionOutcome
+import dev.hibiscusreach.sessions.event.SessionEffect
+import dev.hibiscusreach.sessions.event.SessionEvent
+import dev.hibiscusreach.sessions.event.WriteOutcome
+import dev.hibiscusreach.sessions.model.FleetKey
+import dev.hibiscusreach.sessions.model.FleetRecord
+import dev.hibiscusreach.sessions.model.PeerAnswer
+import dev.hibiscusreach.sessions.model.PeerRequest
+import dev.hibiscusreach.sessions.model.ServerStatus
+import dev.hibiscusreach.sessions.model.SessionReply
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.doesNotContain
+import strikt.assertions.isA
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotEmpty
+
+class PrimaryChangeTest {
+    private val proxy = ProxyFixture().ready()
+    private val intent = GROUP_RECORD.copy(epoch = 2, changedBy = proxy.peers.first())
+    private val confirmed = PeerOutcome.Answered(PeerAnswer.Done)
+
+    private inline fun <reified T : SessionEffect> effects(): List<T> = proxy.take().filterIsInstance<T>()
+
+    private fun writtenKeys() = effects<SessionEffect.WriteFleet>().map { it.key }
+
+    /** The primary leaves, and the intent to replace it is recorded. */
+    private fun beginPlannedChange() {
+        val leaving = SERVERS.map { if (it.name == PRIMARY) server(PRIMARY, EAST, ServerRole.PRIMARY, true) else it }
+        proxy.feed(SessionEvent.ServersRead(leaving.associateBy { it.name }))
+        proxy.pass(1_000)
+        proxy.feed(SessionEvent.FleetWritten(FleetKey.group(GROUP), WriteOutcome.Written(20)))
+    }
+
+    private fun confirmFence(node: String, outcome: PeerOutcome = confirmed) {
+        val request = PeerRequest.Fence(GROUP.value, epoch = 2, planned = true)
+        proxy.feed(SessionEvent.PeerAnswered(endpoint(node), request, outcome))
+    }
+
+    private fun reportStatuses() {
+        for (server in SERVERS) {
+            val status = ServerStatus(server.role, Term(1), Position(Term(1), 10))
+            proxy.feed(SessionEvent.ControlAnswered(server.name, ControlRequest.Status, status))
+        }
+        proxy.pass(100)
+    }
+
+    private fun orderPromotion() {
+        beginPlannedChange()
+        proxy.readFleet(proxy.records(intent))
+        listOf("node-2", "node-3").forEach { confirmFence(it) }
+        proxy.pass(100)
+        reportStatuses()
+        proxy.feed(SessionEvent.FleetWritten(FleetKey.PROMOTER, WriteOutcome.Written(31)))
+    }
+
+    @Test
+    fun `no successor is chosen before every proxy has confirmed the fence - guards against two primaries`() {
+        beginPlannedChange()
+        proxy.readFleet(proxy.records(intent))
+        confirmFence("node-2")
+        proxy.take()
+        proxy.pass(5_000)
+        expectThat(effects<SessionEffect.SendControl>()).isEmpty()
+        confirmFence("node-3")
+        proxy.pass(100)
+        expectThat(effects<SessionEffect.SendControl>()).isNotEmpty()
+    }
+
+    @Test
+    fun `a proxy that joins beside the intent is fenced as well - guards against a lease that nobody waits for`() {
+        beginPlannedChange()
+        listOf("node-2", "node-3").forEach { confirmFence(it) }
+        proxy.take()
+        proxy.pass(100)
+        expectThat(effects<SessionEffect.SendControl>()).isEmpty()
+        val joined = FleetRecord.Proxy(ProxyFixture.identity("node-4"), endpoint("node-4"))
+        proxy.readFleet(proxy.records(intent) + (FleetKey.proxy("node-4") to joined))
+        proxy.pass(100)
+        val fenced = effects<SessionEffect.AskPeer>().filter { it.request is PeerRequest.Fence }.map { it.peer }
+        expectThat(fenced).contains(endpoint("node-4"))
+    }
+
+    @Test
+    fun `a proxy that stays silent is expelled when its lease is over`() {
+        beginPlannedChange()
+        proxy.readFleet(proxy.records(intent))
+        confirmFence("node-2")
+        proxy.pass(10_200)
+        expectThat(writtenKeys()).contains(FleetKey.proxy("node-3"))
+    }
+
+    @Test
+    fun `a promotion carries the revision of the promoter's record as its fencing token`() {
+        orderPromotion()
+        expectThat(effects<SessionEffect.Promote>()).contains(SessionEffect.Promote(GROUP, NEAR_REPLICA, 31))
+    }
+
+    @Test
+    fun `the successor is published once it leads and the old primary steps down`() {
+        orderPromotion()
+        proxy.feed(SessionEvent.PromotionAnswered(GROUP, NEAR_REPLICA, PromotionOutcome.ACCEPTED))
+        proxy.take()
+        val leads = ServerStatus(ServerRole.PRIMARY, Term(2), Position(Term(2), 11))
+        proxy.feed(SessionEvent.ControlAnswered(NEAR_REPLICA, ControlRequest.Status, leads))
+        val effects = proxy.take()
+        val published = GROUP_RECORD.copy(epoch = 2, term = Term(2), primary = NEAR_REPLICA)
+        expectThat(effects.filterIsInstance<SessionEffect.SendControl>().map { it.command })
+            .contains(ControlRequest.StepDown(2))
+        expectThat(effects.filterIsInstance<SessionEffect.WriteFleet>().map { it.record }).contains(published)
+    }
+
+    @Test
+    fun `a fenced proxy sends nothing to the old primary - guards against writes beside the successor`() {
+        val request = PeerRequest.Fence(GROUP.value, epoch = 2, planned = false)
+        proxy.feed(SessionEvent.PeerAsked(PeerRequestNumber(1), request))
+        val session = proxy.session(1, SIGN_OFFS)
+        proxy.take()
+        proxy.send(session, WRITE)
+        expectThat(effects<SessionEffect.SendStatements>()).isEmpty()
+    }
+
+    @Test
+    fun `a fence is confirmed after the write in flight is answered - guards against a lost acknowledgement`() {
+        val session = proxy.session(1, SIGN_OFFS)
+        proxy.send(session, WRITE)
+        val connection = proxy.busyAt(PRIMARY)
+        proxy.take()
+        val request = PeerRequest.Fence(GROUP.value, epoch = 2, planned = true)
+        proxy.feed(SessionEvent.PeerAsked(PeerRequestNumber(1), request))
+        expectThat(effects<SessionEffect.AnswerPeer>()).isEmpty()
+        proxy.complete(connection)
+        expectThat(proxy.reply(session)).isA<SessionReply.Completed>()
+        proxy.pass(100)
+        expectThat(effects<SessionEffect.AnswerPeer>()).isNotEmpty()
+    }
+
+    @Test
+    fun `a change of a proxy that answers is not taken over - guards against changes that never end`() {
+        val other = intent.copy(changedBy = proxy.peers[1])
+        repeat(10) {
+            proxy.readFleet(proxy.records(other))
+            proxy.pass(1_000)
+            proxy.feed(SessionEvent.PeerAnswered(endpoint("node-2"), PeerRequest.Ping, confirmed))
+        }
+        expectThat(writtenKeys()).doesNotContain(FleetKey.group(GROUP))
+    }
+
+    @Test
+    fun `a change of a proxy that does not run any more is taken over`() {
+        val other = intent.copy(changedBy = proxy.peers[1])
+        proxy.readFleet(proxy.records(other))
+        proxy.take()
+        proxy.feed(SessionEvent.PeerAnswered(endpoint("node-2"), PeerRequest.Ping, PeerOutcome.NotRunning))
+        val taken = effects<SessionEffect.WriteFleet>().map { it.record }
+        expectThat(taken).contains(intent.copy(epoch = 3))
+    }
+
+    @Test
+    fun `a silent proxy is expelled - guards against a change of primary that waits for a lost host`() {
+        repeat(8) {
+            proxy.pass(1_000)
+            proxy.readFleet()
+            proxy.feed(SessionEvent.PeerAnswered(endpoint("node-2"), PeerRequest.Ping, confirmed))
+            proxy.feed(SessionEvent.PeerAnswered(endpoint("node-3"), PeerRequest.Ping, PeerOutcome.Silent))
+        }
+        expectThat(writtenKeys()).contains(FleetKey.proxy("node-3")).doesNotContain(FleetKey.proxy("node-2"))
+    }
+
+    @Test
+    fun `a lease is renewed through a peer while the store turns the proxy away`() {
+        proxy.now += 9_000
+        proxy.feed(SessionEvent.FleetUnreadable("status 503"))
+        val asked = effects<SessionEffect.AskPeer>().single { it.request is PeerRequest.ReadFleet }
+        val records = proxy.state.fleet.records.mapKeys { it.key.value }
+        val answer = PeerOutcome.Answered(PeerAnswer.Fleet(records))
+        proxy.feed(SessionEvent.PeerAnswered(asked.peer, asked.request, answer))
+        expectThat(proxy.state.fleet.leaseFrom?.millis).isEqualTo(10_000L)
+    }
+}
--- /dev/null
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/ProxyFixture.kt
@@ -0,0 +1,207 @@
+package dev.hibiscusreach.sessions
+
+import dev.hibiscusreach.core.event.ConnectionNumber
+import dev.hibiscusreach.core.event.ServerRole
+import dev.hibiscusreach.core.model.Access
+import dev.hibiscusreach.core.model.DatabaseName
+import dev.hibiscusreach.core.model.Endpoint
+import dev.hibiscusreach.core.model.FailureDomainName
+import dev.hibiscusreach.core.model.Millis
+import dev.hibiscusreach.core.model.MonotonicTime
+import dev.hibiscusreach.core.model.Position
+import dev.hibiscusreach.core.model.RegionName
+import dev.hibiscusreach.core.model.ServerName
+import dev.hibiscusreach.core.model.Term
+import dev.hibiscusreach.sessions.event.SessionEffect
+import dev.hibiscusreach.sessions.event.SessionEvent
+import dev.hibiscusreach.sessions.event.SessionNumber
+import dev.hibiscusreach.sessions.event.TimedSessionEvent
+import dev.hibiscusreach.sessions.event.TimerSubject
+import dev.hibiscusreach.sessions.model.CallerStatement
+import dev.hibiscusreach.sessions.model.Consistency
+import dev.hibiscusreach.sessions.model.FleetKey
+import dev.hibiscusreach.sessions.model.FleetRecord
+import dev.hibiscusreach.sessions.model.GroupName
+import dev.hibiscusreach.sessions.model.GroupRule
+import dev.hibiscusreach.sessions.model.ProxyIdentity
+import dev.hibiscusreach.sessions.model.RegisteredServer
+import dev.hibiscusreach.sessions.model.Route
+import dev.hibiscusreach.sessions.model.RoutingConfiguration
+import dev.hibiscusreach.sessions.model.ServerAnswer
+import dev.hibiscusreach.sessions.model.ServerFailure
+import dev.hibiscusreach.sessions.model.SessionReply
+import dev.hibiscusreach.sessions.model.StoredRecord
+import dev.hibiscusreach.sessions.model.TransactionStatus
+import dev.hibiscusreach.sessions.state.ProxyPlace
+import dev.hibiscusreach.sessions.state.SessionProxyState
+
+/** One proxy's decisions in simulated time, with a group of one primary and two replicas. */
+class ProxyFixture(proxies: Int = 3, private val connectionLimit: Int = 30) {
+    val peers = (1..proxies).map { identity("node-$it") }
+    var now = 1_000L
+    var state =
+        SessionProxyState(
+            ProxyPlace(
+                identity = peers.first(),
+                peerEndpoint = endpoint("node-1"),
+                failureDomain = WEST,
+                regions = mapOf(WEST to RegionName("west"), EAST to RegionName("east")),
+            ),
+        )
+        private set
+
+    private val effects = mutableListOf<SessionEffect>()
+
+    /** All effects since the last call. */
+    fun take(): List<SessionEffect> = effects.toList().also { effects.clear() }
+
+    fun feed(event: SessionEvent) {
+        val transition = SessionReducer.reduce(state, TimedSessionEvent(MonotonicTime(now), event))
+        state = transition.state
+        effects += transition.effects
+    }
+
+    /** Lets time pass in steps of the request timer, with the timers firing. */
+    fun pass(millis: Long, groups: Boolean = true) {
+        val end = now + millis
+        while (now < end) {
+            now += STEP_MILLIS
+            feed(SessionEvent.TimerFired(TimerSubject.REQUESTS))
+            if (groups && now % GROUP_MILLIS == 0L) feed(SessionEvent.TimerFired(TimerSubject.GROUPS))
+        }
+    }
+
+    /** Brings the proxy into service: configuration, servers, its own record and the group's record. */
+    fun ready(): ProxyFixture {
+        feed(SessionEvent.ConfigurationRead(configuration()))
+        feed(SessionEvent.ServersRead(SERVERS.associateBy { it.name }))
+        readFleet()
+        feed(SessionEvent.TimerFired(TimerSubject.GROUPS))
+        openAll()
+        feed(SessionEvent.TimerFired(TimerSubject.GROUPS))
+        answerProbes()
+        return this
+    }
+
+    fun readFleet(records: Map<FleetKey, FleetRecord> = records()) =
+        feed(SessionEvent.FleetRead(MonotonicTime(now), records.mapValues { StoredRecord(it.value, revision = 7) }))
+
+    fun records(group: FleetRecord.Group = GROUP_RECORD): Map<FleetKey, FleetRecord> =
+        peers.associate { FleetKey.proxy(it.node) to FleetRecord.Proxy(it, endpoint(it.node)) } +
+            (FleetKey.group(GROUP) to group)
+
+    /** Accepts every connection that is being opened. */
+    fun openAll() =
+        state.connections.values
+            .filter { !it.open }
+            .forEach { feed(SessionEvent.ConnectionOpened(it.number)) }
+
+    fun session(number: Long, database: DatabaseName = ORDERS): SessionNumber {
+        feed(SessionEvent.SessionRequested(SessionNumber(number), database))
+        return SessionNumber(number)
+    }
+
+    fun send(session: SessionNumber, statement: CallerStatement) =
+        feed(SessionEvent.StatementArrived(session, "request-1", statement))
+
+    /** The connection to [server] that has statements without an answer. */
+    fun busyAt(server: ServerName): ConnectionNumber? =
+        state.connections.values
+            .find { it.server == server && it.outstanding.isNotEmpty() }
+            ?.number
+
+    /** Answers the oldest outstanding statement of a connection with success. */
+    fun complete(connection: ConnectionNumber?, status: TransactionStatus = TransactionStatus.NONE, index: Long = 10) =
+        answer(connection, ServerAnswer.Result.Completed("proof"), status, Position(Term(1), index))
+
+    /** Answers the oldest outstanding statement of a connection with a failure. */
+    fun fail(connection: ConnectionNumber?, failure: ServerFailure) =
+        answer(connection, ServerAnswer.Result.Failed(failure, failure.name, ""), TransactionStatus.NONE, null)
+
+    /** Answers the statements of the proxy's own. */
+    fun answerProbes() =
+        state.connections.values
+            .filter { it.heldBy == null && it.outstanding.isNotEmpty() }
+            .forEach { complete(it.number) }
+
+    /** The latest answer to [session] since the last call of [take]. */
+    fun reply(session: SessionNumber): SessionReply? =
+        effects
+            .filterIsInstance<SessionEffect.Reply>()
+            .lastOrNull { it.session == session }
+            ?.reply
+
+    private fun answer(
+        connection: ConnectionNumber?,
+        result: ServerAnswer.Result,
+        status: TransactionStatus,
+        position: Position?,
+    ) = feed(
+        SessionEvent.ServerAnswered(
+            checkNotNull(connection),
+            ServerAnswer(listOf("row"), result, status, position),
+        ),
+    )
+
+    private fun configuration() =
+        RoutingConfiguration(
+            version = 1,
+            routes =
+                listOf(
+                    route(ORDERS, Consistency.OwnWrites(Millis(2_500))),
+                    route(STATUS, Consistency.Bounded(Millis(1_500))),
+                    route(SIGN_OFFS, Consistency.Primary),
+                ).associateBy { it.database },
+            groups = mapOf(GROUP to GroupRule(GROUP, connectionLimit, synchronousReplicas = 0)),
+            transactionIdleLimit = Millis(3_000),
+        )
+
+    private fun route(database: DatabaseName, consistency: Consistency) =
+        Route(
+            database = database,
+            group = GROUP,
+            consistency = consistency,
+            statementTimeout = Millis(1_000),
+            latencyObjective = Millis(400),
+            priority = 1,
+        )
+
+    companion object {
+        private const val STEP_MILLIS = 25L
+        private const val GROUP_MILLIS = 100L
+        private val WEST = FailureDomainName("west-1")
+        val EAST = FailureDomainName("east-1")
+        val GROUP = GroupName("orders-group")
+        val ORDERS = DatabaseName("orders")
+        val STATUS = DatabaseName("status")
+        val SIGN_OFFS = DatabaseName("sign-offs")
+        val PRIMARY = ServerName("server-1")
+        val NEAR_REPLICA = ServerName("server-2")
+        val FAR_REPLICA = ServerName("server-3")
+        val SERVERS =
+            listOf(
+                server(PRIMARY, EAST, ServerRole.PRIMARY),
+                server(NEAR_REPLICA, WEST, ServerRole.REPLICA),
+                server(FAR_REPLICA, EAST, ServerRole.REPLICA),
+            )
+        val GROUP_RECORD = FleetRecord.Group(GROUP.value, epoch = 1, term = Term(1), primary = PRIMARY)
+        val READ = CallerStatement.Run(Access.READ, "READ a")
+        val WRITE = CallerStatement.Run(Access.WRITE, "WRITE a b")
+
+        fun identity(node: String) = ProxyIdentity(node, incarnation = 1)
+
+        fun endpoint(node: String) = Endpoint(node, port = 7_000)
+
+        fun server(name: ServerName, domain: FailureDomainName, role: ServerRole, leaving: Boolean = false) =
+            RegisteredServer(
+                name = name,
+                group = GROUP,
+                endpoint = Endpoint(name.value, port = 5_000),
+                failureDomain = domain,
+                slots = 2,
+                leaving = leaving,
+                role = role,
+                startedAtMillis = 1,
+            )
+    }
+}
--- /dev/null
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/RestartLoadTest.kt
@@ -0,0 +1,68 @@
+package dev.hibiscusreach.sessions
+
+import dev.hibiscusreach.core.model.ErrorKind
+import dev.hibiscusreach.sessions.ProxyFixture.Companion.PRIMARY
+import dev.hibiscusreach.sessions.ProxyFixture.Companion.SIGN_OFFS
+import dev.hibiscusreach.sessions.ProxyFixture.Companion.WRITE
+import dev.hibiscusreach.sessions.event.SessionEvent
+import dev.hibiscusreach.sessions.model.ServerFailure
+import dev.hibiscusreach.sessions.model.SessionReply
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+
+/** The load after a restart, when many sessions arrive at once, and after a burst, when few connections are needed. */
+class RestartLoadTest {
+    private val proxy = ProxyFixture().ready()
+
+    private fun connectionsToPrimary() = proxy.state.connections.values.count { it.server == PRIMARY }
+
+    @Test
+    fun `connections are opened for all waiting statements at once - guards against a slow start after a restart`() {
+        (1L..8L).forEach { proxy.send(proxy.session(it, SIGN_OFFS), WRITE) }
+        expectThat(connectionsToPrimary()).isEqualTo(8)
+    }
+
+    @Test
+    fun `spare connections are closed after a burst - guards against restarted hosts that find no room`() {
+        (1L..8L).forEach { proxy.send(proxy.session(it, SIGN_OFFS), WRITE) }
+        proxy.openAll()
+        proxy.state.connections.values
+            .filter { it.heldBy != null }
+            .forEach { proxy.complete(it.number) }
+        expectThat(connectionsToPrimary()).isGreaterThan(4)
+        repeat(4) {
+            proxy.pass(1_000)
+            proxy.answerProbes()
+        }
+        expectThat(connectionsToPrimary()).isEqualTo(1)
+    }
+
+    @Test
+    fun `a statement that cannot be served in time is refused at once with a time to return`() {
+        (1L..8L).forEach { proxy.send(proxy.session(it, SIGN_OFFS), WRITE) }
+        val refusals =
+            (9L..400L).map { number ->
+                val session = proxy.session(number, SIGN_OFFS)
+                proxy.send(session, WRITE)
+                proxy.reply(session) as? SessionReply.Refused
+            }
+        val refused = checkNotNull(refusals.last())
+        expectThat(refused.kind).isEqualTo(ErrorKind.OVERLOADED)
+        expectThat(refused.retryAfter?.value ?: 0).isGreaterThan(0)
+    }
+
+    @Test
+    fun `a server at its connection limit is asked again soon`() {
+        proxy.send(proxy.session(1, SIGN_OFFS), WRITE)
+        proxy.send(proxy.session(2, SIGN_OFFS), WRITE)
+        val opening = proxy.state.connections.values.first { !it.open }
+        proxy.feed(SessionEvent.ConnectionRefused(opening.number, ServerFailure.CONNECTION_LIMIT))
+        proxy.pass(200, groups = false)
+        expectThat(connectionsToPrimary()).isEqualTo(1)
+        proxy.pass(100, groups = false)
+        proxy.send(proxy.session(3, SIGN_OFFS), WRITE)
+        expectThat(connectionsToPrimary()).isEqualTo(2)
+    }
+}
--- /dev/null
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/SessionStatementTest.kt
@@ -0,0 +1,147 @@
+package dev.hibiscusreach.sessions
+
+import dev.hibiscusreach.core.event.ConnectionFailure
+import dev.hibiscusreach.core.model.Access
+import dev.hibiscusreach.core.model.ErrorKind
+import dev.hibiscusreach.sessions.ProxyFixture.Companion.NEAR_REPLICA
+import dev.hibiscusreach.sessions.ProxyFixture.Companion.PRIMARY
+import dev.hibiscusreach.sessions.ProxyFixture.Companion.READ
+import dev.hibiscusreach.sessions.ProxyFixture.Companion.SIGN_OFFS
+import dev.hibiscusreach.sessions.ProxyFixture.Companion.STATUS
+import dev.hibiscusreach.sessions.ProxyFixture.Companion.WRITE
+import dev.hibiscusreach.sessions.event.SessionEffect
+import dev.hibiscusreach.sessions.event.SessionEvent
+import dev.hibiscusreach.sessions.event.SessionNumber
+import dev.hibiscusreach.sessions.model.CallerStatement
+import dev.hibiscusreach.sessions.model.PreparedShape
+import dev.hibiscusreach.sessions.model.ServerFailure
+import dev.hibiscusreach.sessions.model.ServerStatement
+import dev.hibiscusreach.sessions.model.SessionReply
+import dev.hibiscusreach.sessions.model.TransactionStatus
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+
+class SessionStatementTest {
+    private val proxy = ProxyFixture().ready()
+
+    private fun sent(): List<ServerStatement> =
+        proxy.take().filterIsInstance<SessionEffect.SendStatements>().flatMap { it.statements }
+
+    private fun refusal(session: SessionNumber): ErrorKind? = (proxy.reply(session) as? SessionReply.Refused)?.kind
+
+    /** Opens a transaction at the primary with one statement that has been answered. */
+    private fun transaction(statement: CallerStatement): SessionNumber {
+        val session = proxy.session(1, SIGN_OFFS)
+        proxy.send(session, CallerStatement.Begin(readOnly = false))
+        proxy.send(session, statement)
+        repeat(2) { proxy.complete(proxy.busyAt(PRIMARY), TransactionStatus.OPEN) }
+        return session
+    }
+
+    @Test
+    fun `a write runs at the primary and its answer carries the server's proof`() {
+        val session = proxy.session(1)
+        proxy.send(session, WRITE)
+        proxy.complete(proxy.busyAt(PRIMARY))
+        expectThat(proxy.reply(session)).isA<SessionReply.Completed>().get { proof }.isEqualTo("proof")
+    }
+
+    @Test
+    fun `a read waits at a replica for the session's own write - guards against a session that misses its write`() {
+        val session = proxy.session(1)
+        proxy.send(session, WRITE)
+        proxy.complete(proxy.busyAt(PRIMARY), index = 12)
+        proxy.take()
+        proxy.send(session, READ)
+        val read = sent().filterIsInstance<ServerStatement.Run>().single()
+        expectThat(read.minimumPosition.toString()).isEqualTo("1.12")
+    }
+
+    @Test
+    fun `a bounded read is refused when no server is known to be fresh - guards against stale reads`() {
+        proxy.feed(SessionEvent.FleetUnreadable("down"))
+        proxy.now += 10_001
+        val session = proxy.session(1, STATUS)
+        proxy.send(session, READ)
+        proxy.pass(1_500, groups = false)
+        expectThat(refusal(session)).isEqualTo(ErrorKind.READ_TOO_OLD)
+    }
+
+    @Test
+    fun `no read of the newest data runs after the lease has ended - guards against a replaced primary`() {
+        proxy.feed(SessionEvent.FleetUnreadable("down"))
+        proxy.now += 10_001
+        val session = proxy.session(1, SIGN_OFFS)
+        proxy.send(session, READ)
+        expectThat(refusal(session)).isEqualTo(ErrorKind.NO_PRIMARY)
+        expectThat(proxy.busyAt(PRIMARY)).isNull()
+    }
+
+    @Test
+    fun `a lost connection after a single write leaves the outcome unknown - guards against a false refusal`() {
+        val session = proxy.session(1)
+        proxy.send(session, WRITE)
+        val connection = checkNotNull(proxy.busyAt(PRIMARY))
+        proxy.feed(SessionEvent.ConnectionLost(connection, ConnectionFailure.BROKEN))
+        expectThat(refusal(session)).isEqualTo(ErrorKind.OUTCOME_UNKNOWN)
+    }
+
+    @Test
+    fun `a transaction whose connection is lost before its commit is refused as not run`() {
+        val session = transaction(WRITE)
+        val connection = proxy.state.connections.values.single { it.heldBy == session }
+        proxy.feed(SessionEvent.ConnectionLost(connection.number, ConnectionFailure.BROKEN))
+        proxy.send(session, CallerStatement.Commit)
+        expectThat(refusal(session)).isEqualTo(ErrorKind.TRANSACTION_ENDED)
+        expectThat(proxy.reply(session)?.status).isEqualTo(TransactionStatus.NONE)
+    }
+
+    @Test
+    fun `values of another session are cleared from a connection - guards against mixed sessions`() {
+        val first = proxy.session(1, SIGN_OFFS)
+        proxy.send(first, CallerStatement.SetValue("zone", "west"))
+        proxy.send(first, READ)
+        repeat(2) { proxy.complete(proxy.busyAt(PRIMARY)) }
+        proxy.take()
+        val second = proxy.session(2, SIGN_OFFS)
+        proxy.send(second, CallerStatement.Prepare("s1", PreparedShape(Access.READ, "q1")))
+        proxy.send(second, CallerStatement.Execute("s1", "a"))
+        expectThat(sent())
+            .contains(ServerStatement.Reset)
+            .contains(ServerStatement.Prepare(PreparedShape(Access.READ, "q1")))
+    }
+
+    @Test
+    fun `a replica that lacks the position passes the read on to another server`() {
+        val session = proxy.session(1, STATUS)
+        proxy.send(session, READ)
+        proxy.fail(proxy.busyAt(NEAR_REPLICA), ServerFailure.BEHIND)
+        proxy.openAll()
+        proxy.complete(proxy.busyAt(PRIMARY))
+        expectThat(proxy.reply(session)).isA<SessionReply.Completed>()
+    }
+
+    @Test
+    fun `a session that leaves within a transaction gives its connection back after a rollback`() {
+        val session = transaction(READ)
+        val connection = proxy.state.connections.values.single { it.heldBy == session }
+        proxy.take()
+        proxy.feed(SessionEvent.SessionEnded(session))
+        expectThat(sent()).contains(ServerStatement.Rollback)
+        proxy.complete(connection.number)
+        expectThat(proxy.state.connections.getValue(connection.number).idle).isEqualTo(true)
+    }
+
+    @Test
+    fun `an idle transaction is ended and its caller is told at the next statement`() {
+        val session = transaction(READ)
+        proxy.pass(3_100, groups = false)
+        proxy.send(session, READ)
+        expectThat(refusal(session)).isEqualTo(ErrorKind.TRANSACTION_ENDED)
+        expectThat(proxy.reply(session)?.status).isEqualTo(TransactionStatus.FAILED)
+    }
+}
