--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Members.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Members.kt
@@ -63,16 +63,22 @@
     private fun expelSilent(turn: Turn) {
         val fleet = turn.state.fleet
         val others = fleet.members().filterValues { it.identity.node != turn.state.place.identity.node }
-        val (silent, heard) = others.entries.partition { isSilent(turn, it.value.peerEndpoint) }
-        if (fleet.lost || !Primaries.leaseHolds(turn) || heard.size < silent.size) return
-        silent.forEach { (key, proxy) -> expel(turn, key, proxy) }
+        val heard = others.values.count { isHeard(fleet.peers[it.peerEndpoint]) }
+        val hearsMost = (heard + 1) * 2 > others.size + 1
+        if (fleet.lost || !Primaries.leaseHolds(turn)) return
+        others
+            .filterValues { isSilent(turn, it.peerEndpoint, hearsMost) }
+            .forEach { (key, proxy) -> expel(turn, key, proxy) }
     }
 
-    private fun isSilent(turn: Turn, peer: Endpoint): Boolean {
+    private fun isHeard(view: PeerView?) = view?.answeredAt != null && view.misses == 0
+
+    private fun isSilent(turn: Turn, peer: Endpoint, hearsMost: Boolean): Boolean {
         val view = turn.state.fleet.peers[peer]
         val since = view?.missingSince ?: return false
         val limits = turn.settings.leases
-        return view.misses >= limits.missedPings && turn.now - since >= limits.expulsion
+        val expulsion = if (hearsMost) limits.expulsion else limits.duration
+        return view.misses >= limits.missedPings && turn.now - since >= expulsion
     }
 
     private fun expel(turn: Turn, key: FleetKey, proxy: FleetRecord.Proxy) {
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Suspicions.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Suspicions.kt
@@ -99,26 +99,30 @@
             turn.now - askedAt > turn.settings.changes.sightings
     }
 
-    // A primary is replaced if the proxies that reach it are fewer than those that do not.
+    // Proxies that do not answer may reach the primary and keep it in use until their leases end. A primary is replaced
+    // earlier only if most of the proxies are known not to reach it.
     private fun decide(turn: Turn, group: GroupView, suspicion: Suspicion) {
-        val answers =
-            suspicion.reports.values
-                .mapNotNull { (it as? PeerOutcome.Answered)?.answer as? PeerAnswer.Seen }
+        val outcomes = suspicion.reports.values
+        val answers = outcomes.mapNotNull { (it as? PeerOutcome.Answered)?.answer as? PeerAnswer.Seen }
         val recent = turn.settings.changes.recentSighting.value
         val seen = answers.count { seen -> seen.ageMillis?.let { it < recent } ?: false }
         val unseen = answers.size - seen + 1
+        val running = suspicion.asked.size - outcomes.count { it is PeerOutcome.NotRunning } + 1
+        val leasesOver = turn.now - suspicion.since > turn.settings.leases.duration
+        val replaces = unseen * 2 > running || leasesOver && unseen > seen
         turn.log(
             "primary sightings",
             "group" to group.name,
             "reached" to seen,
             "notReached" to unseen,
-            "asked" to suspicion.asked.size,
+            "running" to running,
+            "replaces" to replaces,
         )
-        if (seen >= unseen) {
-            val after = turn.now + turn.settings.changes.pause
-            turn.put(group.copy(suspicion = null, changeAfter = after))
-        } else {
+        if (replaces) {
             Changes.begin(turn, group.name, suspicion.reason)
+        } else {
+            val again = suspicion.copy(askedAt = null, asked = emptySet(), reports = emptyMap())
+            turn.put(group.copy(suspicion = again, changeAfter = turn.now + turn.settings.changes.pause))
         }
     }
 }
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
@@ -187,6 +187,39 @@
         expectThat(writtenKeys()).contains(FleetKey.proxy("node-3")).doesNotContain(FleetKey.proxy("node-2"))
     }
 
+    @Test
+    fun `half of the proxies replace no primary that the others may reach - guards against an outage during a split`() {
+        val proxy = ProxyFixture(proxies = 4).ready()
+        proxy.send(proxy.session(1, SIGN_OFFS), WRITE)
+        repeat(4) {
+            proxy.pass(1_000)
+            val unseen = PeerOutcome.Answered(PeerAnswer.Seen(ageMillis = 5_000))
+            proxy.feed(SessionEvent.PeerAnswered(endpoint("node-2"), PeerRequest.Sighting(PRIMARY), unseen))
+            listOf("node-3", "node-4").forEach {
+                proxy.feed(SessionEvent.PeerAnswered(endpoint(it), PeerRequest.Sighting(PRIMARY), PeerOutcome.Silent))
+            }
+            proxy.readFleet()
+        }
+        val effects = proxy.take()
+        expectThat(effects.filterIsInstance<SessionEffect.AskPeer>().map { it.request })
+            .contains(PeerRequest.Sighting(PRIMARY))
+        expectThat(effects.filterIsInstance<SessionEffect.WriteFleet>().map { it.key })
+            .doesNotContain(FleetKey.group(GROUP))
+    }
+
+    @Test
+    fun `a primary that most proxies do not reach is replaced`() {
+        proxy.send(proxy.session(1, SIGN_OFFS), WRITE)
+        repeat(3) {
+            proxy.pass(1_000)
+            val unseen = PeerOutcome.Answered(PeerAnswer.Seen(ageMillis = 5_000))
+            listOf("node-2", "node-3").forEach {
+                proxy.feed(SessionEvent.PeerAnswered(endpoint(it), PeerRequest.Sighting(PRIMARY), unseen))
+            }
+        }
+        expectThat(writtenKeys()).contains(FleetKey.group(GROUP))
+    }
+
     @Test
     fun `a lease is renewed through a peer while the store turns the proxy away`() {
         proxy.now += 9_000
