--- /dev/null
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Expulsions.kt
@@ -0,0 +1,61 @@
+package dev.hibiscusreach.sessions.part
+
+import dev.hibiscusreach.core.model.Endpoint
+import dev.hibiscusreach.sessions.event.SessionEffect
+import dev.hibiscusreach.sessions.model.FleetKey
+import dev.hibiscusreach.sessions.model.FleetRecord
+import dev.hibiscusreach.sessions.state.PeerView
+
+/**
+ * Finds proxies that have gone silent and expels them, so that a later change of primary does not wait for their
+ * leases. An expelled proxy cannot renew its lease; it registers again if it still runs.
+ */
+internal object Expulsions {
+    /** Expels proxies that have gone silent, and forgets expelled ones whose lease is over. */
+    fun review(turn: Turn) {
+        expelSilent(turn)
+        forgetExpelled(turn)
+    }
+
+    // A proxy that hears from fewer than half of the others may be the one that is cut off.
+    private fun expelSilent(turn: Turn) {
+        val fleet = turn.state.fleet
+        val others = fleet.members().filterValues { it.identity.node != turn.state.place.identity.node }
+        val heard = others.values.count { isHeard(fleet.peers[it.peerEndpoint]) }
+        val hearsMost = (heard + 1) * 2 > others.size + 1
+        if (fleet.lost || !Primaries.leaseHolds(turn)) return
+        others
+            .filterValues { isSilent(turn, it.peerEndpoint, hearsMost) }
+            .forEach { (key, proxy) -> expel(turn, key, proxy) }
+    }
+
+    private fun isHeard(view: PeerView?) = view?.answeredAt != null && view.misses == 0
+
+    private fun isSilent(turn: Turn, peer: Endpoint, hearsMost: Boolean): Boolean {
+        val view = turn.state.fleet.peers[peer]
+        val since = view?.missingSince ?: return false
+        val limits = turn.settings.leases
+        val expulsion = if (hearsMost) limits.expulsion else limits.duration
+        return view.misses >= limits.missedPings && turn.now - since >= expulsion
+    }
+
+    private fun expel(turn: Turn, key: FleetKey, proxy: FleetRecord.Proxy) {
+        val revision = turn.state.fleet.records[key]?.revision ?: return
+        turn.log("proxy expelled", "node" to proxy.identity.node, "revision" to revision)
+        turn.emit(SessionEffect.WriteFleet(key, proxy.copy(expelled = true), revision))
+    }
+
+    private fun forgetExpelled(turn: Turn) {
+        for ((key, since) in turn.state.fleet.expelledSince) {
+            val stored = turn.state.fleet.records[key] ?: continue
+            val over = turn.now - since > turn.settings.leases.duration
+            if (over && isFirst(turn)) turn.emit(SessionEffect.DeleteFleet(key, stored.revision))
+        }
+    }
+
+    private fun isFirst(turn: Turn): Boolean =
+        turn.state.fleet
+            .members()
+            .values
+            .minOf { it.identity.node } == turn.state.place.identity.node
+}
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/ProxyFixture.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/ProxyFixture.kt
@@ -147,11 +147,11 @@
         RoutingConfiguration(
             version = 1,
             routes =
-                listOf(
-                    route(ORDERS, Consistency.OwnWrites(Millis(2_500))),
-                    route(STATUS, Consistency.Bounded(Millis(1_500))),
-                    route(SIGN_OFFS, Consistency.Primary),
-                ).associateBy { it.database },
+            listOf(
+                route(ORDERS, Consistency.OwnWrites(Millis(2_500))),
+                route(STATUS, Consistency.Bounded(Millis(1_500))),
+                route(SIGN_OFFS, Consistency.Primary),
+            ).associateBy { it.database },
             groups = mapOf(GROUP to GroupRule(GROUP, connectionLimit, synchronousReplicas = 0)),
             transactionIdleLimit = Millis(3_000),
         )
