--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/SessionStatementTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/SessionStatementTest.kt
@@ -103,7 +103,7 @@
     @Test
     fun `values of another session are cleared from a connection - guards against mixed sessions`() {
         val first = proxy.session(1, SIGN_OFFS)
-        proxy.send(first, CallerStatement.SetValue("zone", "west"))
+        proxy.send(first, CallerStatement.SetValue("site", "west"))
         proxy.send(first, READ)
         repeat(2) { proxy.complete(proxy.busyAt(PRIMARY)) }
         proxy.take()
