Let paused replicas receive again after a change of primary

Cause: with synchronous replicas an unplanned change pauses the replicas. A replica that was not promoted, and every replica when the primary stayed in office, was never resumed, so commits would have waited for it without end. Found by reading, because the command to resume was never sent.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Publications.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Publications.kt
@@ -17,6 +17,7 @@
         val record = group.record ?: return
         val published = record.copy(term = term, primary = primary, changedBy = null)
         if (record.primary != primary) stepDown(turn, record.primary, term)
+        if (SuccessorChoice.pausesReplicas(turn, group, change)) resumeReplicas(turn, group, primary)
         val next = Changes.enter(turn, group, change.copy(published = published), ChangePhase.PUBLISHING)
         next.change?.let { publishAgain(turn, next, it) }
     }
@@ -28,6 +29,12 @@
         turn.emit(SessionEffect.WriteFleet(FleetKey.group(group.name), record, group.revision))
     }
 
+    private fun resumeReplicas(turn: Turn, group: GroupView, primary: ServerName) =
+        SuccessorChoice
+            .servers(turn, group)
+            .filter { it.name != primary }
+            .forEach { turn.emit(SessionEffect.SendControl(it, ControlRequest.Resume)) }
+
     private fun stepDown(turn: Turn, primary: ServerName, term: Term) {
         val server = turn.state.server(primary) ?: return
         turn.emit(SessionEffect.SendControl(server, ControlRequest.StepDown(term.number)))
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorChoice.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorChoice.kt
@@ -12,10 +12,8 @@
     /** Asks all servers of the group for their status. */
     fun askStatus(turn: Turn, group: GroupView) {
         val change = group.change ?: return
-        val rule = turn.state.configuration?.groups?.get(group.name)
         val term = group.record?.term?.next() ?: return
-        // Paused replicas receive nothing more, so that no commit is acknowledged beside the successor's log.
-        val pauses = (rule?.synchronousReplicas ?: 0) > 0 && !change.reason.planned
+        val pauses = pausesReplicas(turn, group, change)
         for (server in servers(turn, group)) {
             val isPrimary = server.name == group.record.primary
             val command = if (pauses && !isPrimary) ControlRequest.Pause(term.number) else ControlRequest.Status
@@ -24,6 +22,13 @@
         turn.put(group.copy(change = change.copy(repeatedAt = turn.now)))
     }
 
+    /**
+     * Whether the replicas are paused during the change. Paused replicas receive nothing more, so that no commit is
+     * acknowledged beside the successor's log.
+     */
+    fun pausesReplicas(turn: Turn, group: GroupView, change: PrimaryChange): Boolean =
+        commitsWaitForReplicas(turn, group) && !change.reason.planned
+
     /** The registered servers of the group. */
     fun servers(turn: Turn, group: GroupView): List<RegisteredServer> =
         turn.state.servers.values
@@ -32,14 +37,17 @@
 
     // Where commits wait for replicas, the successor is known to have them all only if every replica has reported.
     fun successor(turn: Turn, group: GroupView, change: PrimaryChange): ServerName? {
-        val rule = turn.state.configuration?.groups?.get(group.name)
         val replicas = servers(turn, group).filter { it.name != group.record?.primary }
-        val allNeeded = (rule?.synchronousReplicas ?: 0) > 0
-        if (allNeeded && replicas.any { it.name !in change.statuses }) return null
+        if (commitsWaitForReplicas(turn, group) && replicas.any { it.name !in change.statuses }) return null
         return replicas
             .filter { !it.leaving && it.name !in change.rejected && it.name in change.statuses }
             .sortedBy { ServerSelection.cost(turn, it).value }
             .maxByOrNull { change.statuses.getValue(it.name).received }
             ?.name
     }
+
+    private fun commitsWaitForReplicas(turn: Turn, group: GroupView): Boolean {
+        val rule = turn.state.configuration?.groups?.get(group.name)
+        return rule != null && rule.synchronousReplicas > 0
+    }
 }
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
@@ -4,6 +4,7 @@
 import dev.hibiscusreach.core.model.Position
 import dev.hibiscusreach.core.model.Term
 import dev.hibiscusreach.sessions.ProxyFixture.Companion.EAST
+import dev.hibiscusreach.sessions.ProxyFixture.Companion.FAR_REPLICA
 import dev.hibiscusreach.sessions.ProxyFixture.Companion.GROUP
 import dev.hibiscusreach.sessions.ProxyFixture.Companion.GROUP_RECORD
 import dev.hibiscusreach.sessions.ProxyFixture.Companion.NEAR_REPLICA
@@ -187,6 +188,23 @@
         expectThat(writtenKeys()).contains(FleetKey.proxy("node-3")).doesNotContain(FleetKey.proxy("node-2"))
     }
 
+    @Test
+    fun `paused replicas receive again when the primary stays in office - guards against endless commits`() {
+        val proxy = ProxyFixture(proxies = 1, synchronousReplicas = 1).ready()
+        val intent = GROUP_RECORD.copy(epoch = 2, changedBy = proxy.peers.first())
+        repeat(2) {
+            proxy.readFleet(proxy.records(intent))
+            proxy.pass(200)
+        }
+        val paused = proxy.take().filterIsInstance<SessionEffect.SendControl>()
+        expectThat(paused.map { it.command }).contains(ControlRequest.Pause(2))
+        val leads = ServerStatus(ServerRole.PRIMARY, Term(1), Position(Term(1), 10))
+        proxy.feed(SessionEvent.ControlAnswered(PRIMARY, ControlRequest.Status, leads))
+        val resumed = proxy.take().filterIsInstance<SessionEffect.SendControl>()
+        expectThat(resumed.filter { it.command == ControlRequest.Resume }.map { it.server.name })
+            .isEqualTo(listOf(NEAR_REPLICA, FAR_REPLICA))
+    }
+
     @Test
     fun `half of the proxies replace no primary that the others may reach - guards against an outage during a split`() {
         val proxy = ProxyFixture(proxies = 4).ready()
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/ProxyFixture.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/ProxyFixture.kt
@@ -36,7 +36,11 @@
 import dev.hibiscusreach.sessions.state.SessionProxyState
 
 /** One proxy's decisions in simulated time, with a group of one primary and two replicas. */
-class ProxyFixture(proxies: Int = 3, private val connectionLimit: Int = 30) {
+class ProxyFixture(
+    proxies: Int = 3,
+    private val connectionLimit: Int = 30,
+    private val synchronousReplicas: Int = 0,
+) {
     val peers = (1..proxies).map { identity("node-$it") }
     var now = 1_000L
     var state =
@@ -152,7 +156,7 @@
                 route(STATUS, Consistency.Bounded(Millis(1_500))),
                 route(SIGN_OFFS, Consistency.Primary),
             ).associateBy { it.database },
-            groups = mapOf(GROUP to GroupRule(GROUP, connectionLimit, synchronousReplicas = 0)),
+            groups = mapOf(GROUP to GroupRule(GROUP, connectionLimit, synchronousReplicas)),
             transactionIdleLimit = Millis(3_000),
         )
 
