--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangeFencing.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangeFencing.kt
@@ -1,11 +1,9 @@
 package dev.hibiscusreach.sessions.part
 
-import dev.hibiscusreach.core.model.Endpoint
 import dev.hibiscusreach.core.model.MonotonicTime
 import dev.hibiscusreach.sessions.event.PeerOutcome
 import dev.hibiscusreach.sessions.event.SessionEffect
 import dev.hibiscusreach.sessions.event.SessionEvent
-import dev.hibiscusreach.sessions.model.FleetRecord
 import dev.hibiscusreach.sessions.model.GroupName
 import dev.hibiscusreach.sessions.model.PeerRequest
 import dev.hibiscusreach.sessions.state.ChangePhase
@@ -34,7 +32,8 @@
         when {
             settled && confirmed -> Successions.inspect(turn, group, change)
             settled && leasesOver -> {
-                expel(turn, change.unfenced)
+                // A proxy whose lease has ended must register again before it may use primaries.
+                Expulsions.expel(turn, change.unfenced)
                 Successions.inspect(turn, group, change)
             }
             Changes.isDue(turn, change) -> askForFence(turn, group, change)
@@ -76,15 +75,4 @@
         val request = PeerRequest.Fence(group.name.value, epoch, change.reason.planned)
         change.unfenced.forEach { turn.emit(SessionEffect.AskPeer(it, request)) }
     }
-
-    // A proxy whose lease has ended must register again before it may use primaries.
-    private fun expel(turn: Turn, peers: Set<Endpoint>) {
-        for ((key, stored) in turn.state.fleet.records) {
-            val proxy = stored.record as? FleetRecord.Proxy ?: continue
-            if (proxy.peerEndpoint in peers) {
-                turn.log("proxy expelled", "node" to proxy.identity.node, "revision" to stored.revision)
-                turn.emit(SessionEffect.WriteFleet(key, proxy.copy(expelled = true), stored.revision))
-            }
-        }
-    }
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Expulsions.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Expulsions.kt
@@ -2,8 +2,6 @@
 
 import dev.hibiscusreach.core.model.Endpoint
 import dev.hibiscusreach.sessions.event.SessionEffect
-import dev.hibiscusreach.sessions.model.FleetKey
-import dev.hibiscusreach.sessions.model.FleetRecord
 import dev.hibiscusreach.sessions.state.PeerView
 
 /**
@@ -17,6 +15,17 @@
         forgetExpelled(turn)
     }
 
+    /** Expels the proxies at [peers]. */
+    fun expel(turn: Turn, peers: Set<Endpoint>) {
+        for ((key, proxy) in turn.state.fleet.members()) {
+            val revision = turn.state.fleet.records[key]?.revision
+            if (proxy.peerEndpoint in peers && revision != null) {
+                turn.log("proxy expelled", "node" to proxy.identity.node, "revision" to revision)
+                turn.emit(SessionEffect.WriteFleet(key, proxy.copy(expelled = true), revision))
+            }
+        }
+    }
+
     // A proxy that hears from fewer than half of the others may be the one that is cut off.
     private fun expelSilent(turn: Turn) {
         val fleet = turn.state.fleet
@@ -25,8 +34,10 @@
         val hearsMost = (heard + 1) * 2 > others.size + 1
         if (fleet.lost || !Primaries.leaseHolds(turn)) return
         others
-            .filterValues { isSilent(turn, it.peerEndpoint, hearsMost) }
-            .forEach { (key, proxy) -> expel(turn, key, proxy) }
+            .values
+            .map { it.peerEndpoint }
+            .filter { isSilent(turn, it, hearsMost) }
+            .let { expel(turn, it.toSet()) }
     }
 
     private fun isHeard(view: PeerView?) = view?.answeredAt != null && view.misses == 0
@@ -39,12 +50,6 @@
         return view.misses >= limits.missedPings && turn.now - since >= expulsion
     }
 
-    private fun expel(turn: Turn, key: FleetKey, proxy: FleetRecord.Proxy) {
-        val revision = turn.state.fleet.records[key]?.revision ?: return
-        turn.log("proxy expelled", "node" to proxy.identity.node, "revision" to revision)
-        turn.emit(SessionEffect.WriteFleet(key, proxy.copy(expelled = true), revision))
-    }
-
     private fun forgetExpelled(turn: Turn) {
         for ((key, since) in turn.state.fleet.expelledSince) {
             val stored = turn.state.fleet.records[key] ?: continue
@@ -57,5 +62,5 @@
         turn.state.fleet
             .members()
             .values
-            .minOf { it.identity.node } == turn.state.place.identity.node
+            .minOfOrNull { it.identity.node } == turn.state.place.identity.node
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Failures.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Failures.kt
@@ -35,8 +35,10 @@
         val harmless = failed.failure.notRun || isRead(session, pending)
         if (harmless && hasTime(turn, pending)) {
             turn.count(SessionCounter.RETRIES, failed.failure.name.lowercase())
-            val excluded = pending.copy(excluded = pending.excluded + server, attempts = maxOf(1, pending.attempts))
-            val next = excluded.copy(attempts = excluded.attempts + if (pending.phase is Phase.Beginning) 1 else 0)
+            // A statement is counted when it is sent; an attempt that failed at the begin of its transaction is not.
+            val failedBegins = if (pending.phase is Phase.Beginning) 1 else 0
+            val attempts = maxOf(1, pending.attempts) + failedBegins
+            val next = pending.copy(excluded = pending.excluded + server, attempts = attempts)
             val sameServer = ServerSelection.needsPrimary(session, pending)
             Dispatch.requeue(turn, session, next, turn.settings.requests.pause.takeIf { sameServer })
         } else {
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/FleetEvents.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/FleetEvents.kt
@@ -6,7 +6,6 @@
 import dev.hibiscusreach.sessions.event.SessionEvent
 import dev.hibiscusreach.sessions.event.WriteOutcome
 import dev.hibiscusreach.sessions.model.FleetKey
-import dev.hibiscusreach.sessions.model.FleetRecord
 import dev.hibiscusreach.sessions.model.GroupName
 import dev.hibiscusreach.sessions.model.PeerAnswer
 import dev.hibiscusreach.sessions.model.PeerRequest
@@ -48,20 +47,15 @@
                 turn.emit(SessionEffect.AnswerPeer(number, answer))
             }
             is PeerRequest.Publish -> {
-                publish(turn, request.record, request.revision)
+                GroupRecords.adopt(turn, GroupName(request.record.group), request.record, request.revision)
                 turn.emit(SessionEffect.AnswerPeer(number, PeerAnswer.Done))
             }
         }
 
-    private fun publish(turn: Turn, record: FleetRecord.Group, revision: Long) =
-        GroupRecords.adopt(turn, GroupName(record.group), record, revision)
-
     private fun answered(turn: Turn, event: SessionEvent.PeerAnswered) {
         when (val request = event.request) {
             is PeerRequest.Fence -> ChangeFencing.fenced(turn, event, request)
-            is PeerRequest.Sighting -> {
-                Suspicions.reported(turn, event, request)
-            }
+            is PeerRequest.Sighting -> Suspicions.reported(turn, event, request)
             is PeerRequest.ReadFleet -> Relays.answered(turn, event, request)
             PeerRequest.Ping -> {
                 Members.answered(turn, event)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Leases.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Leases.kt
@@ -46,8 +46,7 @@
         val fleet = turn.state.fleet
         if (fleet.lost) turn.log("store regained")
         val own = event.records[FleetKey.proxy(turn.state.place.identity.node)]
-        val ownRecord = own?.record as? FleetRecord.Proxy
-        val registered = ownRecord?.identity == turn.state.place.identity && !ownRecord.expelled
+        val registered = isRegistered(turn, event.records)
         if (registered && !fleet.registered) turn.log("proxy registered", "revision" to own?.revision)
         val promoterMoved = event.records[FleetKey.PROMOTER]?.revision != fleet.records[FleetKey.PROMOTER]?.revision
         turn.state =
@@ -89,6 +88,12 @@
             .filterValues { (it.record as? FleetRecord.Proxy)?.expelled ?: false }
             .mapValues { (key, _) -> turn.state.fleet.expelledSince[key] ?: turn.now }
 
+    /** Whether [records] show that this run of the proxy may use primaries. */
+    fun isRegistered(turn: Turn, records: Map<FleetKey, StoredRecord>): Boolean {
+        val own = records[FleetKey.proxy(turn.state.place.identity.node)]?.record as? FleetRecord.Proxy
+        return own?.identity == turn.state.place.identity && !own.expelled
+    }
+
     private fun register(turn: Turn, present: StoredRecord?) {
         val place = turn.state.place
         val record = FleetRecord.Proxy(place.identity, place.peerEndpoint)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Relays.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Relays.kt
@@ -6,7 +6,6 @@
 import dev.hibiscusreach.sessions.event.SessionEffect
 import dev.hibiscusreach.sessions.event.SessionEvent
 import dev.hibiscusreach.sessions.model.FleetKey
-import dev.hibiscusreach.sessions.model.FleetRecord
 import dev.hibiscusreach.sessions.model.PeerAnswer
 import dev.hibiscusreach.sessions.model.PeerRequest
 
@@ -59,8 +58,7 @@
         val askedAt = MonotonicTime(request.askedAtMillis)
         if (answer == null || !fleet.lost) return
         val records = answer.records.mapKeys { FleetKey(it.key) }
-        val own = records[FleetKey.proxy(turn.state.place.identity.node)]?.record as? FleetRecord.Proxy
-        val registered = own?.identity == turn.state.place.identity && !own.expelled
+        val registered = Leases.isRegistered(turn, records)
         val leaseFrom = if (registered) maxOf(askedAt, fleet.leaseFrom ?: askedAt) else fleet.leaseFrom
         turn.log("lease renewed through peer", "peer" to event.peer, "registered" to registered)
         turn.state = turn.state.copy(fleet = fleet.copy(records = records, leaseFrom = leaseFrom))
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Successions.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Successions.kt
@@ -90,11 +90,7 @@
                 Changes.enter(turn, group, change, ChangePhase.ACQUIRING)
             turn.now - change.phaseSince > turn.settings.changes.catchUp ->
                 change.statuses[incumbent]?.let { Publications.keep(turn, group, change, it) }
-            turn.now - (change.repeatedAt ?: change.phaseSince) >= turn.settings.changes.review ->
-                SuccessorChoice.askStatus(
-                    turn,
-                    group
-                )
+            polls(turn, change) -> SuccessorChoice.askStatus(turn, group)
         }
     }
 
@@ -107,11 +103,11 @@
                 Publications.publish(turn, group, change, successor, status.term)
             turn.now - change.phaseSince > turn.settings.changes.promotion ->
                 inspect(turn, group, change)
-            turn.now - (change.repeatedAt ?: change.phaseSince) >= turn.settings.changes.review ->
-                SuccessorChoice.askStatus(
-                    turn,
-                    group
-                )
+            polls(turn, change) -> SuccessorChoice.askStatus(turn, group)
         }
     }
+
+    // Statuses are asked for at each review while only the progress of a server is waited for.
+    private fun polls(turn: Turn, change: PrimaryChange): Boolean =
+        turn.now - (change.repeatedAt ?: change.phaseSince) >= turn.settings.changes.review
 }
