Take a change of primary over when its proxy was started anew

Cause: a proxy that was killed in a change and started again answered the pings of the others at the same endpoint, so that they believed the change went on. Nobody carried it out, and the group stayed without a primary. Ruled out: the promotion (it had taken effect) and the fence (settled on all proxies).

The registration shows which run of a host is alive: a change by another run is taken over after the rank delay.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/AbandonedChanges.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/AbandonedChanges.kt
@@ -23,6 +23,8 @@
         val askedAt = group.changerAskedAt?.takeIf { it > adoptedAt } ?: adoptedAt
         when {
             turn.state.fleet.lost || turn.state.stoppingSince != null -> Unit
+            changer(turn, group) == null && turn.now - adoptedAt > delay ->
+                Changes.begin(turn, group.name, ChangeReason.ABANDONED)
             turn.now - seenAt > changes.takeover + delay ->
                 Changes.begin(turn, group.name, ChangeReason.ABANDONED)
             turn.now - askedAt > changes.takeoverCheck -> {
@@ -47,9 +49,11 @@
             }
     }
 
+    // Null once the run that began the change has ended: a later run on the same host answers at the same endpoint, but
+    // knows nothing of the change.
     private fun changer(turn: Turn, group: GroupView): Endpoint? =
         group.record?.changedBy?.let { changer ->
-            val stored = turn.state.fleet.records[FleetKey.proxy(changer.node)]
-            (stored?.record as? FleetRecord.Proxy)?.peerEndpoint
+            val registered = turn.state.fleet.records[FleetKey.proxy(changer.node)]?.record as? FleetRecord.Proxy
+            registered?.takeIf { it.identity == changer }?.peerEndpoint
         }
 }
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
@@ -177,6 +177,18 @@
         expectThat(taken).contains(intent.copy(epoch = 3))
     }
 
+    @Test
+    fun `a change of a proxy that was started anew is taken over - guards against a group that stays without a primary`() {
+        val earlier = proxy.peers[1].copy(incarnation = 0)
+        proxy.readFleet(proxy.records(intent.copy(changedBy = earlier)))
+        repeat(2) {
+            proxy.pass(500)
+            proxy.feed(SessionEvent.PeerAnswered(endpoint("node-2"), PeerRequest.Ping, confirmed))
+        }
+        val taken = effects<SessionEffect.WriteFleet>().map { it.record }
+        expectThat(taken).contains(intent.copy(epoch = 3))
+    }
+
     @Test
     fun `a silent proxy is expelled - guards against a change of primary that waits for a lost host`() {
         repeat(8) {
