Prove the record of a repeated write by the primary's later position

Cause: the record of a write that the replaced primary had accepted belongs to an earlier term. A proxy that met the new primary only after its first write does not know where the new term began, so it could never prove the record and answered every repetition with outcome-unknown. An unfinished add that took effect also explains the counter that was not linearizable. Ruled out: lost messages after the cut was healed (each Resolve was answered within 2 ms) and the server's records.

A position that the primary has reached in its own term proves all earlier entries of its log, so the answer waits for that one.

--- a/core/src/main/kotlin/dev/hibiscusreach/core/request/Verification.kt
+++ b/core/src/main/kotlin/dev/hibiscusreach/core/request/Verification.kt
@@ -1,5 +1,6 @@
 package dev.hibiscusreach.core.request
 
+import dev.hibiscusreach.core.event.ServerRole
 import dev.hibiscusreach.core.event.SessionAnswer
 import dev.hibiscusreach.core.event.Signal
 import dev.hibiscusreach.core.model.ErrorKind
@@ -18,7 +19,7 @@
 
         Outstanding.DURABILITY -> {
             enter(request, phase, due)
-            signal(Signal.DurabilityWanted(phase.attempt, request.database, phase.answer.position(), due))
+            signal(Signal.DurabilityWanted(phase.attempt, request.database, phase.answer.provingPosition(), due))
         }
 
         Outstanding.LEADERSHIP -> {
@@ -91,6 +92,14 @@
         -> Position.ORIGIN
     }
 
+// The record of a repeated request may be an entry of an earlier term, and a proxy that met the primary only after its
+// first write does not know where the primary's own term began. A later entry of that term proves the earlier one.
+private fun SessionAnswer.provingPosition(): Position {
+    val position = position()
+    val isOlder = position.term < status.term && status.applied.term == status.term
+    return if (isOlder && status.role == ServerRole.PRIMARY) status.applied else position
+}
+
 private fun StepBuilder.tooOld(request: PendingRequest, phase: RequestPhase.Verifying) {
     val avoiding = request.copy(avoidedServers = request.avoidedServers + phase.server, replicaWaitOver = true)
     tryAgain(avoiding, "age", ErrorKind.READ_TOO_OLD, "the data of server '${phase.server}' is too old")
--- a/core/src/test/kotlin/dev/hibiscusreach/core/request/WriteTest.kt
+++ b/core/src/test/kotlin/dev/hibiscusreach/core/request/WriteTest.kt
@@ -6,6 +6,7 @@
 import dev.hibiscusreach.core.event.CounterName
 import dev.hibiscusreach.core.event.Event
 import dev.hibiscusreach.core.event.PartName
+import dev.hibiscusreach.core.event.ServerRole
 import dev.hibiscusreach.core.event.SessionAnswer
 import dev.hibiscusreach.core.event.SessionCommand
 import dev.hibiscusreach.core.event.Signal
@@ -97,6 +98,20 @@
             .containsExactly("connection", "connection", "attempt")
     }
 
+    // Guards against a repeated write that never gets an answer, because its record was written before the primary's
+    // term and this proxy has not seen where the term began.
+    @Test
+    fun `the record of a repeated write from an earlier term is proved by the position that the primary has reached`() {
+        harness.replacePrimary(Fixture.REPLICA, term = 2)
+        harness.arrive(write())
+        val reached = status(Fixture.REPLICA, term = 2).copy(role = ServerRole.PRIMARY, applied = at(20, term = 2))
+        harness.answer(SessionAnswer.Done(reached, Fixture.RESULTS, at(11), replayed = true))
+
+        expectThat(harness.signalled<Signal.DurabilityWanted>().last().position).isEqualTo(at(20, term = 2))
+        harness.reachDurability()
+        expectThat(harness.completed.session.positionOf(Fixture.JOBS)).isEqualTo(at(11))
+    }
+
     // Guards against an acknowledgement by a replaced primary, and against a gap that lasts until a time-out.
     @Test
     fun `a write that is under way when the primary is replaced is resolved at the new one`() {
