Let a planned change go on beside a lost replica

Cause: where commits wait for replicas, a change of primary waited for the status of every registered replica, in a planned change too.

In a planned change the primary still reports the whole log, and the successor receives the rest before it is promoted. Only a change after a failure needs every replica.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Successions.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Successions.kt
@@ -74,8 +74,7 @@
             "received" to change.statuses[successor]?.received,
             "incumbent" to incumbent?.received,
         )
-        val handsOver = incumbent?.role == ServerRole.PRIMARY
-        val phase = if (handsOver) ChangePhase.CATCHING_UP else ChangePhase.ACQUIRING
+        val phase = if (SuccessorChoice.isHandedOver(group, change)) ChangePhase.CATCHING_UP else ChangePhase.ACQUIRING
         val next = Changes.enter(turn, group, chosen, phase)
         next.change?.let { review(turn, next, it) }
     }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorChoice.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorChoice.kt
@@ -1,5 +1,6 @@
 package dev.hibiscusreach.sessions.part
 
+import dev.hibiscusreach.core.event.ServerRole
 import dev.hibiscusreach.core.model.ServerName
 import dev.hibiscusreach.sessions.event.ControlRequest
 import dev.hibiscusreach.sessions.event.SessionEffect
@@ -35,10 +36,12 @@
             .map { it.server }
             .filter { it.group == group.name }
 
-    // Where commits wait for replicas, the successor is known to have them all only if every replica has reported.
+    // Where commits wait for replicas, the successor is known to have them all only if every replica has reported, or if
+    // the primary still reports how far its log goes: the successor then receives the rest before it is promoted.
     fun successor(turn: Turn, group: GroupView, change: PrimaryChange): ServerName? {
         val replicas = servers(turn, group).filter { it.name != group.record?.primary }
-        if (commitsWaitForReplicas(turn, group) && replicas.any { it.name !in change.statuses }) return null
+        val complete = isHandedOver(group, change) || replicas.all { it.name in change.statuses }
+        if (commitsWaitForReplicas(turn, group) && !complete) return null
         return replicas
             .filter { !it.leaving && it.name !in change.rejected && it.name in change.statuses }
             .sortedBy { ServerSelection.cost(turn, it).value }
@@ -46,6 +49,10 @@
             ?.name
     }
 
+    /** Whether the primary has reported as such, so that it can hand its log over. */
+    fun isHandedOver(group: GroupView, change: PrimaryChange): Boolean =
+        group.record?.let { change.statuses[it.primary]?.role } == ServerRole.PRIMARY
+
     private fun commitsWaitForReplicas(turn: Turn, group: GroupView): Boolean {
         val rule = turn.state.configuration?.groups?.get(group.name)
         return rule != null && rule.synchronousReplicas > 0
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
@@ -217,6 +217,37 @@
             .isEqualTo(listOf(NEAR_REPLICA, FAR_REPLICA))
     }
 
+    @Test
+    fun `a planned change waits for no replica but the successor - guards against an outage beside a lost replica`() {
+        val proxy = ProxyFixture(proxies = 1, synchronousReplicas = 1).ready()
+        val leaving = SERVERS.map { if (it.name == PRIMARY) server(PRIMARY, EAST, ServerRole.PRIMARY, true) else it }
+        proxy.feed(SessionEvent.ServersRead(leaving.associateBy { it.name }))
+        proxy.pass(300)
+        proxy.feed(SessionEvent.FleetWritten(FleetKey.group(GROUP), WriteOutcome.Written(20)))
+        proxy.readFleet(proxy.records(GROUP_RECORD.copy(epoch = 2, changedBy = proxy.peers.first())))
+        proxy.pass(700)
+        proxy.take()
+        for ((name, role) in listOf(PRIMARY to ServerRole.PRIMARY, NEAR_REPLICA to ServerRole.REPLICA)) {
+            val status = ServerStatus(role, Term(1), Position(Term(1), 10))
+            proxy.feed(SessionEvent.ControlAnswered(name, ControlRequest.Status, status))
+        }
+        proxy.pass(700)
+        expectThat(proxy.take().filterIsInstance<SessionEffect.WriteFleet>().map { it.key }).contains(FleetKey.PROMOTER)
+    }
+
+    @Test
+    fun `after a failure every replica is heard first - guards against a successor without acknowledged commits`() {
+        val proxy = ProxyFixture(proxies = 1, synchronousReplicas = 1).ready()
+        proxy.readFleet(proxy.records(GROUP_RECORD.copy(epoch = 2, changedBy = proxy.peers.first())))
+        proxy.pass(700)
+        val status = ServerStatus(ServerRole.REPLICA, Term(1), Position(Term(1), 10))
+        proxy.feed(SessionEvent.ControlAnswered(NEAR_REPLICA, ControlRequest.Status, status))
+        proxy.take()
+        proxy.pass(1_400)
+        expectThat(proxy.take().filterIsInstance<SessionEffect.WriteFleet>().map { it.key })
+            .doesNotContain(FleetKey.PROMOTER)
+    }
+
     @Test
     fun `half of the proxies replace no primary that the others may reach - guards against an outage during a split`() {
         val proxy = ProxyFixture(proxies = 4).ready()
