Take a server that announced its end as gone with its entry

Cause: a server whose entry is missing is kept for 3 s, because entries lapse with the store and return.

A leaving server is now gone with its entry, unless the store was lost within the same 3 s.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Leases.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Leases.kt
@@ -60,6 +60,7 @@
                     reading = false,
                     readAgain = false,
                     lost = false,
+                    regainedAt = if (fleet.lost) turn.now else fleet.regainedAt,
                     promoterSeenAt = if (promoterMoved) turn.now else fleet.promoterSeenAt ?: turn.now,
                     expelledSince = expelledSince(turn, event.records),
                 ),
