--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Leases.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Leases.kt
@@ -60,7 +60,6 @@
                     reading = false,
                     readAgain = false,
                     lost = false,
-                    regainedAt = if (fleet.lost) turn.now else fleet.regainedAt,
                     promoterSeenAt = if (promoterMoved) turn.now else fleet.promoterSeenAt ?: turn.now,
                     expelledSince = expelledSince(turn, event.records),
                 ),
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Servers.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Servers.kt
@@ -39,17 +39,12 @@
             .forEach { turn.log("server entry missing", "server" to it.server.name, "group" to it.server.group) }
     }
 
-    /** Removes servers whose entry has been missing for too long. */
+    /** Removes servers whose entry has been missing for too long, and closes idle connections to leaving ones. */
     fun review(turn: Turn) {
         val limit = turn.settings.connections.missingLimit
-        val regainedAt = turn.state.fleet.regainedAt
-        val steady = !turn.state.fleet.lost && (regainedAt == null || turn.now - regainedAt > limit)
         turn.state.servers.values
-            .filter { known ->
-                val missing = known.missingSince?.let { turn.now - it }
-                // A server that announced its end has ended, unless the entry may have lapsed with the store.
-                missing != null && (missing > limit || steady && known.server.leaving)
-            }.forEach { forget(turn, it.server.name) }
+            .filter { known -> known.missingSince?.let { turn.now - it > limit } ?: false }
+            .forEach { forget(turn, it.server.name) }
     }
 
     /** Removes a server and its unused connections. */
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
@@ -64,8 +64,6 @@
     /** Whether another read is wanted after the one in flight. */
     val readAgain: Boolean = false,
     val lost: Boolean = false,
-    /** When the store could last be read again after it had been lost. */
-    val regainedAt: MonotonicTime? = null,
     /** When the promoter's record was first seen with its present revision. */
     val promoterSeenAt: MonotonicTime? = null,
     /** Peers that wait for the next read, with the time at which they asked. */
