Require a successor that has every acknowledged commit

Cause: where commits wait for replicas, one that left may have been the only replica that had received a commit. A change of primary after a failure only asked the replicas that were still registered.

The intent now names all replicas of the group and the position that the successor must reach because of replicas that left earlier, so that a proxy that continues the change knows them too. If they cannot all report, the change waits for the primary to return, at most 20 s. Not covered: all proxies restart between a replica's departure and the intent.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/FleetRecords.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/FleetRecords.kt
@@ -1,6 +1,7 @@
 package dev.hibiscusreach.sessions.model
 
 import dev.hibiscusreach.core.model.Endpoint
+import dev.hibiscusreach.core.model.Position
 import dev.hibiscusreach.core.model.ServerName
 import dev.hibiscusreach.core.model.Term
 import kotlinx.serialization.SerialName
@@ -23,6 +24,13 @@
         val primary: ServerName,
         /** The proxy that replaces the primary; null while the primary is in office. */
         val changedBy: ProxyIdentity? = null,
+        /**
+         * The replicas when the change began, where commits wait for replicas. Any of them may hold acknowledged commits
+         * that the others lack, also if it has left since.
+         */
+        val replicas: Set<ServerName> = emptySet(),
+        /** Position that the successor must have received because of replicas that left before the change. */
+        val floor: Position? = null,
     ) : FleetRecord
 
     /** A running proxy. It renews its lease on primaries only while this record exists and is not [expelled]. */
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Changes.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Changes.kt
@@ -21,7 +21,8 @@
     fun begin(turn: Turn, name: GroupName, reason: ChangeReason) {
         val group = turn.group(name)
         val record = group.record ?: return
-        val intent = record.copy(epoch = record.epoch + 1, changedBy = turn.state.place.identity)
+        val next = record.copy(epoch = record.epoch + 1, changedBy = turn.state.place.identity)
+        val intent = DepartedReplicas.required(turn, group, next)
         turn.log(
             "primary change begins",
             "group" to name,
@@ -29,9 +30,12 @@
             "reason" to reason.description,
             "epoch" to intent.epoch,
             "revision" to group.revision,
+            "replicas" to intent.replicas.takeIf { it.isNotEmpty() },
+            "floor" to intent.floor,
         )
         turn.count(SessionCounter.PRIMARY_CHANGES, "begun")
-        turn.put(group.copy(suspicion = null, change = PrimaryChange(reason, ChangePhase.RECORDING, turn.now)))
+        val change = PrimaryChange(reason, ChangePhase.RECORDING, turn.now, intent)
+        turn.put(group.copy(suspicion = null, change = change))
         turn.emit(SessionEffect.WriteFleet(FleetKey.group(name), intent, group.revision))
     }
 
@@ -71,8 +75,7 @@
     }
 
     private fun recorded(turn: Turn, group: GroupView, change: PrimaryChange, revision: Long) {
-        val record = group.record ?: return
-        val intent = record.copy(epoch = record.epoch + 1, changedBy = turn.state.place.identity)
+        val intent = change.intent ?: return
         turn.put(group.copy(record = intent, revision = revision, adoptedAt = turn.now))
         ChangeFencing.start(turn, turn.group(group.name), change)
     }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupRecords.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupRecords.kt
@@ -24,7 +24,10 @@
             "changedBy" to record.changedBy?.node,
             "revision" to revision,
         )
-        val adopted = group.copy(record = record, revision = revision, adoptedAt = turn.now, suspicion = null)
+        val taken = group.copy(record = record, revision = revision, adoptedAt = turn.now, suspicion = null)
+        // A successor had proved its log before it was promoted.
+        val replaced = known != null && known.term != record.term
+        val adopted = if (replaced) taken.copy(departed = emptyMap(), departedFloor = null) else taken
         turn.put(adopted)
         if (record.changedBy == null) inOffice(turn, adopted, record) else changing(turn, adopted, record)
     }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Primaries.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Primaries.kt
@@ -41,8 +41,10 @@
         val group = turn.group(name)
         val latest = group.heads.lastOrNull()
         if (latest != null && latest.sentAt >= sentAt) return
-        val heads = group.heads.add(HeadSample(sentAt, position))
-        turn.put(group.copy(heads = if (heads.size > KEPT_HEADS) heads.removeAt(0) else heads))
+        val head = HeadSample(sentAt, position)
+        val heads = group.heads.add(head)
+        val known = DepartedReplicas.sampled(group, head)
+        turn.put(known.copy(heads = if (heads.size > KEPT_HEADS) heads.removeAt(0) else heads))
     }
 
     /**
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Publications.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Publications.kt
@@ -5,6 +5,7 @@
 import dev.hibiscusreach.sessions.event.ControlRequest
 import dev.hibiscusreach.sessions.event.SessionEffect
 import dev.hibiscusreach.sessions.model.FleetKey
+import dev.hibiscusreach.sessions.model.FleetRecord
 import dev.hibiscusreach.sessions.model.ServerStatus
 import dev.hibiscusreach.sessions.state.ChangePhase
 import dev.hibiscusreach.sessions.state.GroupView
@@ -15,7 +16,7 @@
     /** Publishes [primary] as the group's primary in [term]. */
     fun publish(turn: Turn, group: GroupView, change: PrimaryChange, primary: ServerName, term: Term) {
         val record = group.record ?: return
-        val published = record.copy(term = term, primary = primary, changedBy = null)
+        val published = FleetRecord.Group(record.group, record.epoch, term, primary)
         if (record.primary != primary) stepDown(turn, record.primary, term)
         if (SuccessorChoice.pausesReplicas(turn, group, change)) resumeReplicas(turn, group, primary)
         val next = Changes.enter(turn, group, change.copy(published = published), ChangePhase.PUBLISHING)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Servers.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Servers.kt
@@ -33,10 +33,13 @@
                 .filterKeys { it !in event.servers }
                 .mapValues { (_, known) -> known.copy(missingSince = known.missingSince ?: turn.now) }
         turn.state = turn.state.copy(servers = (missing + present).toPersistentMap(), serversKnown = true)
-        event.servers.values.forEach { noteChange(turn, before[it.name]?.server, it) }
+        event.servers.values.forEach {
+            noteChange(turn, before[it.name]?.server, it)
+            DepartedReplicas.present(turn, it)
+        }
         missing.values
             .filter { it.missingSince == turn.now }
-            .forEach { turn.log("server entry missing", "server" to it.server.name, "group" to it.server.group) }
+            .forEach { noteMissing(turn, it.server) }
     }
 
     /** Removes servers whose entry has been missing for too long, and closes idle connections to leaving ones. */
@@ -55,6 +58,11 @@
         closeIdle(turn, name)
     }
 
+    private fun noteMissing(turn: Turn, server: RegisteredServer) {
+        turn.log("server entry missing", "server" to server.name, "group" to server.group)
+        DepartedReplicas.missing(turn, server)
+    }
+
     private fun noteChange(turn: Turn, before: RegisteredServer?, after: RegisteredServer) {
         if (before == after) return
         turn.log(
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Successions.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Successions.kt
@@ -1,5 +1,6 @@
 package dev.hibiscusreach.sessions.part
 
+import dev.hibiscusreach.core.event.LogLevel
 import dev.hibiscusreach.core.event.ServerRole
 import dev.hibiscusreach.core.model.ServerName
 import dev.hibiscusreach.sessions.event.SessionEvent
@@ -67,6 +68,8 @@
         incumbent: ServerStatus?,
     ) {
         val chosen = change.copy(successor = successor)
+        val complete = SuccessorChoice.hasAllCommits(turn, group, change, successor)
+        if (!complete) turn.log("successor may lack commits", "group" to group.name, level = LogLevel.ERROR)
         turn.log(
             "successor chosen",
             "group" to group.name,
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorChoice.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorChoice.kt
@@ -36,24 +36,39 @@
             .map { it.server }
             .filter { it.group == group.name }
 
-    // Where commits wait for replicas, the successor is known to have them all only if every replica has reported, or if
-    // the primary still reports how far its log goes: the successor then receives the rest before it is promoted.
+    /** The replica that has received the most, if it may take the group over. */
     fun successor(turn: Turn, group: GroupView, change: PrimaryChange): ServerName? {
         val replicas = servers(turn, group).filter { it.name != group.record?.primary }
-        val complete = isHandedOver(group, change) || replicas.all { it.name in change.statuses }
-        if (commitsWaitForReplicas(turn, group) && !complete) return null
-        return replicas
-            .filter { !it.leaving && it.name !in change.rejected && it.name in change.statuses }
-            .sortedBy { ServerSelection.cost(turn, it).value }
-            .maxByOrNull { change.statuses.getValue(it.name).received }
-            ?.name
+        val candidate =
+            replicas
+                .filter { !it.leaving && it.name !in change.rejected && it.name in change.statuses }
+                .sortedBy { ServerSelection.cost(turn, it).value }
+                .maxByOrNull { change.statuses.getValue(it.name).received }
+                ?.name
+        val waitedEnough = turn.now - change.phaseSince > turn.settings.changes.missingCommits
+        return candidate?.takeIf { waitedEnough || hasAllCommits(turn, group, change, it) }
+    }
+
+    /**
+     * Whether [candidate] will have every acknowledged commit. Where commits wait for replicas, that is known only if
+     * every replica has reported, or if the primary still reports how far its log goes: the successor then receives the
+     * rest before it is promoted.
+     */
+    fun hasAllCommits(turn: Turn, group: GroupView, change: PrimaryChange, candidate: ServerName): Boolean {
+        val record = group.record ?: return false
+        val registered = servers(turn, group).map { it.name }.filter { it != record.primary }
+        val heard = (record.replicas + registered).all { it in change.statuses }
+        val floor = record.floor
+        val reached = floor == null || change.statuses.getValue(candidate).received >= floor
+        return !commitsWaitForReplicas(turn, group) || isHandedOver(group, change) || heard && reached
     }
 
     /** Whether the primary has reported as such, so that it can hand its log over. */
     fun isHandedOver(group: GroupView, change: PrimaryChange): Boolean =
         group.record?.let { change.statuses[it.primary]?.role } == ServerRole.PRIMARY
 
-    private fun commitsWaitForReplicas(turn: Turn, group: GroupView): Boolean {
+    /** Whether the operators want commits of the group to be acknowledged only after replicas have received them. */
+    fun commitsWaitForReplicas(turn: Turn, group: GroupView): Boolean {
         val rule = turn.state.configuration?.groups?.get(group.name)
         return rule != null && rule.synchronousReplicas > 0
     }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/GroupView.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/GroupView.kt
@@ -31,6 +31,10 @@
     val changerAskedAt: MonotonicTime? = null,
     /** When that proxy last answered that it goes on. */
     val changerSeenAt: MonotonicTime? = null,
+    /** When replicas were first missing, as long as no later head position of the primary is known. */
+    val departed: Map<ServerName, MonotonicTime> = emptyMap(),
+    /** Every commit that waited for a replica which has left is at or before this position. */
+    val departedFloor: Position? = null,
 )
 
 /** Every commit that was acknowledged before [sentAt] is at or before [position]. */
@@ -77,6 +81,8 @@
     val reason: ChangeReason,
     val phase: ChangePhase,
     val phaseSince: MonotonicTime,
+    /** The record that states the intent, until it is known to be written. */
+    val intent: FleetRecord.Group? = null,
     /** When the intent was known to be recorded; leases that began before end a lease duration later. */
     val recordedAt: MonotonicTime? = null,
     /** Peers that have not confirmed the fence. */
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
@@ -112,6 +112,11 @@
     val repeat: Millis = 300.milliseconds,
     /** Time for servers to report their status before the most advanced one is chosen. */
     val inspection: Millis = 600.milliseconds,
+    /**
+     * Time after which a successor is taken that may lack acknowledged commits; well above the time in which a crashed
+     * primary usually returns with its log.
+     */
+    val missingCommits: Millis = 20.inSeconds,
     /** Time for a successor to receive the whole log in a planned change. */
     val catchUp: Millis = 2.inSeconds,
     /** Age up to which the right to promote is used after it was acquired. */
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
@@ -34,7 +34,9 @@
 import strikt.assertions.isA
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isNotEmpty
+import strikt.assertions.isTrue
 
 class PrimaryChangeTest {
     private val proxy = ProxyFixture().ready()
@@ -235,17 +237,69 @@
         expectThat(proxy.take().filterIsInstance<SessionEffect.WriteFleet>().map { it.key }).contains(FleetKey.PROMOTER)
     }
 
+    private val waiting = ProxyFixture(proxies = 1, synchronousReplicas = 1).ready()
+    private val replicas = setOf(NEAR_REPLICA, FAR_REPLICA)
+
+    /** The near replica reports during a change after a failure that this proxy continues. */
+    private fun reportNearReplica(intent: FleetRecord.Group) {
+        waiting.readFleet(waiting.records(intent.copy(changedBy = waiting.peers.first())))
+        waiting.pass(700)
+        val status = ServerStatus(ServerRole.REPLICA, Term(1), Position(Term(1), 10))
+        waiting.feed(SessionEvent.ControlAnswered(NEAR_REPLICA, ControlRequest.Status, status))
+        waiting.take()
+        waiting.pass(1_400)
+    }
+
+    private fun ordersPromotion() =
+        waiting.take().filterIsInstance<SessionEffect.WriteFleet>().any { it.key == FleetKey.PROMOTER }
+
+    private fun loseFarReplica() =
+        waiting.feed(SessionEvent.ServersRead(SERVERS.filter { it.name != FAR_REPLICA }.associateBy { it.name }))
+
     @Test
     fun `after a failure every replica is heard first - guards against a successor without acknowledged commits`() {
-        val proxy = ProxyFixture(proxies = 1, synchronousReplicas = 1).ready()
-        proxy.readFleet(proxy.records(GROUP_RECORD.copy(epoch = 2, changedBy = proxy.peers.first())))
-        proxy.pass(700)
-        val status = ServerStatus(ServerRole.REPLICA, Term(1), Position(Term(1), 10))
-        proxy.feed(SessionEvent.ControlAnswered(NEAR_REPLICA, ControlRequest.Status, status))
-        proxy.take()
-        proxy.pass(1_400)
-        expectThat(proxy.take().filterIsInstance<SessionEffect.WriteFleet>().map { it.key })
-            .doesNotContain(FleetKey.PROMOTER)
+        reportNearReplica(GROUP_RECORD.copy(epoch = 2))
+        expectThat(ordersPromotion()).isFalse()
+    }
+
+    @Test
+    fun `a replica that left during the change is still waited for - guards against a lost acknowledged commit`() {
+        loseFarReplica()
+        waiting.pass(4_000)
+        reportNearReplica(GROUP_RECORD.copy(epoch = 2, replicas = replicas))
+        expectThat(ordersPromotion()).isFalse()
+    }
+
+    @Test
+    fun `a successor reaches what a replica that left may have held - guards against a lost acknowledged commit`() {
+        loseFarReplica()
+        waiting.pass(4_000)
+        reportNearReplica(GROUP_RECORD.copy(epoch = 2, floor = Position(Term(1), 11)))
+        expectThat(ordersPromotion()).isFalse()
+    }
+
+    @Test
+    fun `the intent names the replicas that may hold acknowledged commits - guards against their loss at a restart`() {
+        loseFarReplica()
+        val leaving = SERVERS.map { if (it.name == PRIMARY) server(PRIMARY, EAST, ServerRole.PRIMARY, true) else it }
+        waiting.feed(SessionEvent.ServersRead(leaving.filter { it.name != FAR_REPLICA }.associateBy { it.name }))
+        waiting.take()
+        waiting.pass(200)
+        val intents = waiting.take().filterIsInstance<SessionEffect.WriteFleet>().map { it.record }
+        expectThat(intents).contains(
+            GROUP_RECORD.copy(epoch = 2, changedBy = waiting.peers.first(), replicas = replicas),
+        )
+    }
+
+    @Test
+    fun `a group whose commits are lost for good gets a successor at last - guards against an endless outage`() {
+        val intent = GROUP_RECORD.copy(epoch = 2, changedBy = waiting.peers.first(), replicas = replicas)
+        reportNearReplica(intent)
+        repeat(20) {
+            waiting.readFleet(waiting.records(intent))
+            waiting.pass(1_000)
+        }
+        expectThat(ordersPromotion()).isTrue()
     }
 
     @Test
