Let the tests of replicas that left reach the choice of a successor

The change under test stayed in the fence, because the members were read only once; the negative checks passed without testing anything. A positive check now shows that the choice is reached.

--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
@@ -2,6 +2,7 @@
 
 import dev.hibiscusreach.core.event.ServerRole
 import dev.hibiscusreach.core.model.Position
+import dev.hibiscusreach.core.model.ServerName
 import dev.hibiscusreach.core.model.Term
 import dev.hibiscusreach.sessions.ProxyFixture.Companion.EAST
 import dev.hibiscusreach.sessions.ProxyFixture.Companion.FAR_REPLICA
@@ -240,12 +241,15 @@
     private val waiting = ProxyFixture(proxies = 1, synchronousReplicas = 1).ready()
     private val replicas = setOf(NEAR_REPLICA, FAR_REPLICA)
 
-    /** The near replica reports during a change after a failure that this proxy continues. */
-    private fun reportNearReplica(intent: FleetRecord.Group) {
-        waiting.readFleet(waiting.records(intent.copy(changedBy = waiting.peers.first())))
-        waiting.pass(700)
+    /** Servers report during a change after a failure that this proxy continues. */
+    private fun report(intent: FleetRecord.Group, reporting: List<ServerName>) {
+        val own = intent.copy(changedBy = waiting.peers.first())
+        repeat(2) {
+            waiting.readFleet(waiting.records(own))
+            waiting.pass(200)
+        }
         val status = ServerStatus(ServerRole.REPLICA, Term(1), Position(Term(1), 10))
-        waiting.feed(SessionEvent.ControlAnswered(NEAR_REPLICA, ControlRequest.Status, status))
+        reporting.forEach { waiting.feed(SessionEvent.ControlAnswered(it, ControlRequest.Pause(2), status)) }
         waiting.take()
         waiting.pass(1_400)
     }
@@ -258,15 +262,21 @@
 
     @Test
     fun `after a failure every replica is heard first - guards against a successor without acknowledged commits`() {
-        reportNearReplica(GROUP_RECORD.copy(epoch = 2))
+        report(GROUP_RECORD.copy(epoch = 2), listOf(NEAR_REPLICA))
         expectThat(ordersPromotion()).isFalse()
     }
 
+    @Test
+    fun `a successor is promoted once every replica has reported`() {
+        report(GROUP_RECORD.copy(epoch = 2, replicas = replicas, floor = Position(Term(1), 10)), listOf(NEAR_REPLICA, FAR_REPLICA))
+        expectThat(ordersPromotion()).isTrue()
+    }
+
     @Test
     fun `a replica that left during the change is still waited for - guards against a lost acknowledged commit`() {
         loseFarReplica()
         waiting.pass(4_000)
-        reportNearReplica(GROUP_RECORD.copy(epoch = 2, replicas = replicas))
+        report(GROUP_RECORD.copy(epoch = 2, replicas = replicas), listOf(NEAR_REPLICA))
         expectThat(ordersPromotion()).isFalse()
     }
 
@@ -274,7 +284,7 @@
     fun `a successor reaches what a replica that left may have held - guards against a lost acknowledged commit`() {
         loseFarReplica()
         waiting.pass(4_000)
-        reportNearReplica(GROUP_RECORD.copy(epoch = 2, floor = Position(Term(1), 11)))
+        report(GROUP_RECORD.copy(epoch = 2, floor = Position(Term(1), 11)), listOf(NEAR_REPLICA))
         expectThat(ordersPromotion()).isFalse()
     }
 
@@ -294,7 +304,7 @@
     @Test
     fun `a group whose commits are lost for good gets a successor at last - guards against an endless outage`() {
         val intent = GROUP_RECORD.copy(epoch = 2, changedBy = waiting.peers.first(), replicas = replicas)
-        reportNearReplica(intent)
+        report(intent, listOf(NEAR_REPLICA))
         repeat(20) {
             waiting.readFleet(waiting.records(intent))
             waiting.pass(1_000)
