Let sessions that arrive before the configuration wait for it

Each refusal costs the caller one of its few retries while all hosts restart.

They now wait up to 1 s, half of the time that callers wait, and are refused at once while the store is lost.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Deadlines.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Deadlines.kt
@@ -13,6 +13,7 @@
 /** Ends statements and transactions whose time is over, and repeats those whose pause is over. */
 internal object Deadlines {
     fun review(turn: Turn) {
+        SessionLifecycle.review(turn)
         for (number in turn.state.active) {
             val session = turn.session(number) ?: continue
             val pending = session.pending
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Servers.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Servers.kt
@@ -20,6 +20,7 @@
                 "before" to before,
                 "routes" to configuration.routes.size,
             )
+            SessionLifecycle.configured(turn)
         } else if (configuration.version < before) {
             turn.log("older configuration ignored", "version" to configuration.version, "inForce" to before)
         }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionLifecycle.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionLifecycle.kt
@@ -1,34 +1,67 @@
 package dev.hibiscusreach.sessions.part
 
+import dev.hibiscusreach.core.model.DatabaseName
 import dev.hibiscusreach.core.model.ErrorKind
 import dev.hibiscusreach.sessions.event.SessionEffect
 import dev.hibiscusreach.sessions.event.SessionEvent
+import dev.hibiscusreach.sessions.event.SessionNumber
+import dev.hibiscusreach.sessions.state.ArrivingSession
 import dev.hibiscusreach.sessions.state.Session
 import dev.hibiscusreach.sessions.state.Transaction
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
 
 /** Opens and ends sessions. */
 internal object SessionLifecycle {
+    /** Opens a session; before the first configuration it waits for a short time, because a refusal costs a retry. */
     fun open(turn: Turn, event: SessionEvent.SessionRequested) {
-        val configuration = turn.state.configuration
-        val route = configuration?.routes?.get(event.database)
-        if (route == null) {
-            val kind = if (configuration == null) ErrorKind.NO_CONFIGURATION else ErrorKind.UNKNOWN_DATABASE
-            turn.log(
-                "session refused",
-                "session" to event.session.value,
-                "database" to event.database,
-                "reason" to kind.label,
-                "configurationVersion" to configuration?.version,
-            )
-            turn.emit(SessionEffect.RefuseSession(event.session, kind, "database ${event.database} is not available"))
+        if (turn.state.configuration == null && !turn.state.fleet.lost) {
+            val arriving = ArrivingSession(event.session, event.database, turn.now)
+            turn.state = turn.state.copy(arriving = turn.state.arriving.add(arriving))
         } else {
-            turn.put(Session(event.session, event.database))
-            turn.emit(SessionEffect.AcceptSession(event.session))
+            decide(turn, event.session, event.database)
+        }
+    }
+
+    /** Decides on the sessions that waited for the first configuration. */
+    fun configured(turn: Turn) {
+        val arriving = turn.state.arriving
+        turn.state = turn.state.copy(arriving = persistentListOf())
+        arriving.forEach { decide(turn, it.number, it.database) }
+    }
+
+    /** Refuses sessions that have waited too long for a configuration, or whose store is lost. */
+    fun review(turn: Turn) {
+        val limit = turn.settings.requests.arrival
+        val (refused, waiting) =
+            turn.state.arriving.partition { turn.state.fleet.lost || turn.now - it.since >= limit }
+        if (refused.isEmpty()) return
+        turn.state = turn.state.copy(arriving = waiting.toPersistentList())
+        refused.forEach { decide(turn, it.number, it.database) }
+    }
+
+    private fun decide(turn: Turn, session: SessionNumber, database: DatabaseName) {
+        val configuration = turn.state.configuration
+        if (configuration?.routes?.containsKey(database) == true) {
+            turn.put(Session(session, database))
+            turn.emit(SessionEffect.AcceptSession(session))
+            return
         }
+        val kind = if (configuration == null) ErrorKind.NO_CONFIGURATION else ErrorKind.UNKNOWN_DATABASE
+        turn.log(
+            "session refused",
+            "session" to session.value,
+            "database" to database,
+            "reason" to kind.label,
+            "configurationVersion" to configuration?.version,
+        )
+        turn.emit(SessionEffect.RefuseSession(session, kind, "database $database is not available"))
     }
 
     /** Forgets a session; what it had open at a server is rolled back. */
     fun end(turn: Turn, event: SessionEvent.SessionEnded) {
+        val arriving = turn.state.arriving.removeAll { it.number == event.session }
+        turn.state = turn.state.copy(arriving = arriving)
         val session = turn.session(event.session) ?: return
         session.pending?.let { turn.stopWaiting(it.route.group, session.number) }
         val state = turn.state
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
@@ -1,6 +1,7 @@
 package dev.hibiscusreach.sessions.state
 
 import dev.hibiscusreach.core.event.ConnectionNumber
+import dev.hibiscusreach.core.model.DatabaseName
 import dev.hibiscusreach.core.model.Endpoint
 import dev.hibiscusreach.core.model.MonotonicTime
 import dev.hibiscusreach.core.model.ServerName
@@ -15,6 +16,7 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 
@@ -28,6 +30,8 @@
     val fleet: FleetView = FleetView(),
     val groups: PersistentMap<GroupName, GroupView> = persistentMapOf(),
     val sessions: PersistentMap<SessionNumber, Session> = persistentMapOf(),
+    /** Sessions that wait for the first configuration, in order of arrival. */
+    val arriving: PersistentList<ArrivingSession> = persistentListOf(),
     /** Sessions with a pending statement or a running transaction. */
     val active: PersistentSet<SessionNumber> = persistentSetOf(),
     /** Sessions whose statement waits for a connection, in order of arrival. */
@@ -50,6 +54,9 @@
     fun server(name: ServerName): RegisteredServer? = servers[name]?.server
 }
 
+/** A session that arrived before the first configuration. */
+data class ArrivingSession(val number: SessionNumber, val database: DatabaseName, val since: MonotonicTime)
+
 /** A registered server, and since when its entry is missing. */
 data class KnownServer(val server: RegisteredServer, val missingSince: MonotonicTime? = null)
 
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
@@ -29,6 +29,8 @@
 data class RequestSettings(
     /** Period of the deadline checks; half of the shortest pause before a retry. */
     val review: Millis = 25.milliseconds,
+    /** Time that a session waits for the first configuration; half of the time that callers wait for a session. */
+    val arrival: Millis = 1.inSeconds,
     /** Tries of a statement that is known not to have run, or that only reads. */
     val attempts: Int = 4,
     /** Pause before a statement goes to the same overloaded server again; about one statement's work. */
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/RestartLoadTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/RestartLoadTest.kt
@@ -1,14 +1,18 @@
 package dev.hibiscusreach.sessions
 
+import dev.hibiscusreach.core.model.DatabaseName
 import dev.hibiscusreach.core.model.ErrorKind
 import dev.hibiscusreach.sessions.ProxyFixture.Companion.PRIMARY
 import dev.hibiscusreach.sessions.ProxyFixture.Companion.SIGN_OFFS
 import dev.hibiscusreach.sessions.ProxyFixture.Companion.WRITE
+import dev.hibiscusreach.sessions.event.SessionEffect
 import dev.hibiscusreach.sessions.event.SessionEvent
+import dev.hibiscusreach.sessions.event.SessionNumber
 import dev.hibiscusreach.sessions.model.ServerFailure
 import dev.hibiscusreach.sessions.model.SessionReply
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 
@@ -24,6 +28,44 @@
         expectThat(connectionsToPrimary()).isEqualTo(8)
     }
 
+    private inline fun <reified T : SessionEffect> effects(proxy: ProxyFixture): List<T> =
+        proxy.take().filterIsInstance<T>()
+
+    @Test
+    fun `sessions that arrive before the configuration wait for it - guards against retries spent on a restart`() {
+        val started = ProxyFixture()
+        (1L..3L).forEach { started.session(it, SIGN_OFFS) }
+        started.session(4, DatabaseName("unknown"))
+        started.feed(SessionEvent.SessionEnded(SessionNumber(2)))
+        started.pass(500)
+        expectThat(effects<SessionEffect.RefuseSession>(started)).isEmpty()
+        started.ready()
+        val effects = started.take()
+        expectThat(effects.filterIsInstance<SessionEffect.AcceptSession>().map { it.session.value })
+            .isEqualTo(listOf(1L, 3L))
+        expectThat(effects.filterIsInstance<SessionEffect.RefuseSession>().map { it.kind })
+            .isEqualTo(listOf(ErrorKind.UNKNOWN_DATABASE))
+    }
+
+    @Test
+    fun `sessions are refused at once while the store is lost - guards against callers that wait for nothing`() {
+        val started = ProxyFixture()
+        started.session(1, SIGN_OFFS)
+        started.feed(SessionEvent.FleetUnreadable("no answer"))
+        started.pass(100)
+        started.session(2, SIGN_OFFS)
+        expectThat(effects<SessionEffect.RefuseSession>(started).map { it.session.value }).isEqualTo(listOf(1L, 2L))
+    }
+
+    @Test
+    fun `a session waits for the configuration for a limited time`() {
+        val started = ProxyFixture()
+        started.session(1, SIGN_OFFS)
+        started.pass(1_100)
+        expectThat(effects<SessionEffect.RefuseSession>(started).map { it.kind })
+            .isEqualTo(listOf(ErrorKind.NO_CONFIGURATION))
+    }
+
     @Test
     fun `spare connections are closed after a burst - guards against restarted hosts that find no room`() {
         (1L..8L).forEach { proxy.send(proxy.session(it, SIGN_OFFS), WRITE) }
