Accept a primary that returns under another name

Cause: a server that was to be replaced hands its log and its role to a new server at its address.

A term has one primary, so a server that leads in the recorded term is published as the primary.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Successions.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Successions.kt
@@ -4,6 +4,7 @@
 import dev.hibiscusreach.core.event.ServerRole
 import dev.hibiscusreach.core.model.ServerName
 import dev.hibiscusreach.sessions.event.SessionEvent
+import dev.hibiscusreach.sessions.model.FleetRecord
 import dev.hibiscusreach.sessions.model.ServerStatus
 import dev.hibiscusreach.sessions.state.ChangePhase
 import dev.hibiscusreach.sessions.state.GroupView
@@ -44,7 +45,7 @@
 
     private fun reviewStatuses(turn: Turn, group: GroupView, change: PrimaryChange) {
         val record = group.record ?: return
-        val leader = change.statuses.entries.find { it.value.role == ServerRole.PRIMARY && it.value.term > record.term }
+        val leader = change.statuses.entries.find { leads(record, it.key, it.value) }
         val incumbent = change.statuses[record.primary]
         val waited = turn.now - change.phaseSince
         val servers = SuccessorChoice.servers(turn, group)
@@ -60,6 +61,12 @@
         }
     }
 
+    // A term has one primary. Another server that leads in the recorded term has the primary's log under a new name.
+    private fun leads(record: FleetRecord.Group, server: ServerName, status: ServerStatus): Boolean {
+        val isOther = status.term > record.term || status.term == record.term && server != record.primary
+        return status.role == ServerRole.PRIMARY && isOther
+    }
+
     private fun succeed(
         turn: Turn,
         group: GroupView,
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
@@ -301,6 +301,17 @@
         )
     }
 
+    @Test
+    fun `a primary that returns under another name stays in office - guards against an outage while its log is there`() {
+        val returned = server(ServerName("server-4"), EAST, ServerRole.PRIMARY)
+        waiting.feed(SessionEvent.ServersRead(listOf(SERVERS[1], returned).associateBy { it.name }))
+        report(GROUP_RECORD.copy(epoch = 2, replicas = replicas), listOf(NEAR_REPLICA))
+        val leads = ServerStatus(ServerRole.PRIMARY, Term(1), Position(Term(1), 12))
+        waiting.feed(SessionEvent.ControlAnswered(returned.name, ControlRequest.Pause(2), leads))
+        val published = waiting.take().filterIsInstance<SessionEffect.WriteFleet>().map { it.record }
+        expectThat(published).contains(GROUP_RECORD.copy(epoch = 2, primary = returned.name))
+    }
+
     @Test
     fun `a group whose commits are lost for good gets a successor at last - guards against an endless outage`() {
         val intent = GROUP_RECORD.copy(epoch = 2, changedBy = waiting.peers.first(), replicas = replicas)
