--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/FleetRecords.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/FleetRecords.kt
@@ -25,8 +25,8 @@
         /** The proxy that replaces the primary; null while the primary is in office. */
         val changedBy: ProxyIdentity? = null,
         /**
-         * The replicas when the change began, where commits wait for replicas. Any of them may hold acknowledged commits
-         * that the others lack, also if it has left since.
+         * The replicas when the change began, where commits wait for replicas. Any of them may hold acknowledged
+         * commits that the others lack, also if it has left since.
          */
         val replicas: Set<ServerName> = emptySet(),
         /** Position that the successor must have received because of replicas that left before the change. */
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
@@ -181,7 +181,7 @@
     }
 
     @Test
-    fun `a change of a proxy that was started anew is taken over - guards against a group that stays without a primary`() {
+    fun `a change of a proxy that was started anew is taken over - guards against a group without a primary`() {
         val earlier = proxy.peers[1].copy(incarnation = 0)
         proxy.readFleet(proxy.records(intent.copy(changedBy = earlier)))
         repeat(2) {
@@ -268,7 +268,8 @@
 
     @Test
     fun `a successor is promoted once every replica has reported`() {
-        report(GROUP_RECORD.copy(epoch = 2, replicas = replicas, floor = Position(Term(1), 10)), listOf(NEAR_REPLICA, FAR_REPLICA))
+        val intent = GROUP_RECORD.copy(epoch = 2, replicas = replicas, floor = Position(Term(1), 10))
+        report(intent, listOf(NEAR_REPLICA, FAR_REPLICA))
         expectThat(ordersPromotion()).isTrue()
     }
 
@@ -302,7 +303,7 @@
     }
 
     @Test
-    fun `a primary that returns under another name stays in office - guards against an outage while its log is there`() {
+    fun `a primary that returns under another name stays in office - guards against an outage beside its log`() {
         val returned = server(ServerName("server-4"), EAST, ServerRole.PRIMARY)
         waiting.feed(SessionEvent.ServersRead(listOf(SERVERS[1], returned).associateBy { it.name }))
         report(GROUP_RECORD.copy(epoch = 2, replicas = replicas), listOf(NEAR_REPLICA))
