Open all outgoing connections and judge their failures in one place

The HTTP client, the connections to servers and the requests to peers each set a socket up and each told a refusal from a time-out by themselves. They share SocketConnector now. HttpListener, which also opens the listeners of sessions and peers, is called SocketListener.

--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/caller/CallerEndpoint.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/caller/CallerEndpoint.kt
@@ -8,7 +8,7 @@
 import dev.hibiscusreach.core.model.CallerRequest
 import dev.hibiscusreach.core.model.Endpoint
 import dev.hibiscusreach.runtime.adapter.CallerAnswers
-import dev.hibiscusreach.runtime.http.HttpListener
+import dev.hibiscusreach.runtime.http.SocketListener
 import dev.hibiscusreach.runtime.loop.EventSink
 import dev.hibiscusreach.runtime.loop.LoopListener
 import io.netty.channel.Channel
@@ -54,9 +54,9 @@
 
     /** Listens at [address]; returns the address with its actual port. */
     fun bind(group: EventLoopGroup, address: Endpoint): Endpoint {
-        val channel = HttpListener.bind(group, address, CallerPipeline(this))
+        val channel = SocketListener.bind(group, address, CallerPipeline(this))
         listener = channel
-        return HttpListener.endpoint(channel)
+        return SocketListener.endpoint(channel)
     }
 
     override fun answer(effect: Effect.AnswerCaller) {
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpConnection.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpConnection.kt
@@ -3,18 +3,12 @@
 import dev.hibiscusreach.core.event.ConnectionFailure
 import dev.hibiscusreach.core.model.Endpoint
 import dev.hibiscusreach.core.model.Millis
-import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInitializer
-import io.netty.channel.ChannelOption
-import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.SimpleChannelInboundHandler
-import io.netty.channel.socket.SocketChannel
-import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpClientCodec
@@ -25,8 +19,6 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import org.slf4j.LoggerFactory
-import java.net.ConnectException
-import java.net.InetSocketAddress
 import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
 
@@ -53,21 +45,11 @@
 
     /** Starts to connect. */
     fun connect(group: EventLoopGroup, timeoutMillis: Int, maximumResponseBytes: Int) {
-        val pipeline =
-            object : ChannelInitializer<SocketChannel>() {
-                override fun initChannel(channel: SocketChannel) {
-                    val aggregator = HttpObjectAggregator(maximumResponseBytes, true)
-                    channel.pipeline().addLast(HttpClientCodec(), aggregator, this@HttpConnection)
-                }
-            }
         val connecting =
-            Bootstrap()
-                .group(group)
-                .channel(NioSocketChannel::class.java)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .handler(pipeline)
-                .connect(InetSocketAddress(endpoint.address, endpoint.port))
+            SocketConnector.connect(group, endpoint, timeoutMillis) { channel ->
+                val aggregator = HttpObjectAggregator(maximumResponseBytes, true)
+                channel.pipeline().addLast(HttpClientCodec(), aggregator, this)
+            }
         channel = connecting.channel()
         connecting.addListener { connectEnded(connecting) }
     }
@@ -116,12 +98,8 @@
     }
 
     private fun connectEnded(connecting: ChannelFuture) {
-        when (connecting.cause()) {
-            null -> listener.connected(this)
-            is ConnectTimeoutException -> finish(ConnectionFailure.TIMED_OUT)
-            is ConnectException -> finish(ConnectionFailure.REFUSED)
-            else -> finish(ConnectionFailure.BROKEN)
-        }
+        val failure = SocketConnector.failure(connecting)
+        if (failure == null) listener.connected(this) else finish(failure)
     }
 
     private fun finish(failure: ConnectionFailure) {
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpListener.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/SocketListener.kt
@@ -15,7 +15,7 @@
     Exception("cannot listen at $address: ${cause.message}", cause)
 
 /** Opens listening sockets. */
-object HttpListener {
+object SocketListener {
     private const val BACKLOG = 1_024
 
     /** Listens at [address]; each accepted channel gets [pipeline]. */
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/operations/OperationsEndpoint.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/operations/OperationsEndpoint.kt
@@ -1,7 +1,7 @@
 package dev.hibiscusreach.runtime.operations
 
 import dev.hibiscusreach.core.model.Endpoint
-import dev.hibiscusreach.runtime.http.HttpListener
+import dev.hibiscusreach.runtime.http.SocketListener
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
@@ -46,9 +46,9 @@
 
     /** Listens at [address]; returns the address with its actual port. */
     fun bind(group: EventLoopGroup, address: Endpoint): Endpoint {
-        val channel = HttpListener.bind(group, address, Pipeline())
+        val channel = SocketListener.bind(group, address, Pipeline())
         listener = channel
-        return HttpListener.endpoint(channel)
+        return SocketListener.endpoint(channel)
     }
 
     override fun close() {
