--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/loop/EventLoop.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/loop/EventLoop.kt
@@ -1,6 +1,5 @@
 package dev.hibiscusreach.runtime.loop
 
-import dev.hibiscusreach.core.event.Effect
 import dev.hibiscusreach.core.event.Event
 import dev.hibiscusreach.core.event.TimedEvent
 import dev.hibiscusreach.core.reducer.ProxyReducer
@@ -20,6 +19,7 @@
 ) : EventSink,
     AutoCloseable {
     private val log = LoggerFactory.getLogger(EventLoop::class.java)
+    private val guard = DefectGuard(log)
     private val queue = LinkedBlockingQueue<Event>()
     private val timers = TimerService()
     private val exit = CountDownLatch(1)
@@ -91,32 +91,19 @@
         return queue.poll(minOf(wait, MAXIMUM_WAIT_MILLIS), TimeUnit.MILLISECONDS)
     }
 
-    // A defect that one event triggers must not take the other callers' requests down with the process.
-    @Suppress("TooGenericExceptionCaught")
     private fun reduce(event: Event, effects: EffectHandler) {
         val startedAt = System.nanoTime()
-        try {
-            val timed = TimedEvent(clock.now(), clock.wallClockMillis(), clock.random(), event)
+        guard.handle(event) {
+            val timed = TimedEvent(clock.now(), clock.wallClockMillis(), clock.random(), it)
             val transition = reducer.reduce(state, timed)
             val before = state
             state = transition.state
-            transition.effects.forEach { carryOut(it, effects) }
+            transition.effects.forEach { effect -> guard.carryOut(effect, effects::handle) }
             notifyListeners(before, transition.state)
-        } catch (failure: RuntimeException) {
-            log.error("event could not be handled: {}", event, failure)
         }
         listeners.forEach { it.reduced(event, System.nanoTime() - startedAt) }
     }
 
-    @Suppress("TooGenericExceptionCaught")
-    private fun carryOut(effect: Effect, effects: EffectHandler) {
-        try {
-            effects.handle(effect)
-        } catch (failure: RuntimeException) {
-            log.error("effect could not be carried out: {}", effect, failure)
-        }
-    }
-
     private fun notifyListeners(before: ProxyState, after: ProxyState) {
         if (before.drainPhase != after.drainPhase) listeners.forEach { it.drainAdvanced(after.drainPhase) }
         val generation = after.configuration.index.generation
