Derive what the decisions on sessions repeated

The servers and replicas of a group, the open transaction of a session, whether a statement commits, the transaction after a failure and the pause before a new connection were written out at each use. The members of the fleet were collected again for each statement that waits for a connection; they are collected once for each reading of the records now. Comments that claimed checks which do not exist are corrected. Behaviour is unchanged.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEffect.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEffect.kt
@@ -26,7 +26,7 @@
     /** Answers the outstanding statement of a session. */
     data class Reply(val session: SessionNumber, val reply: SessionReply) : SessionEffect
 
-    /** Closes a session that has no outstanding statement. */
+    /** Closes a session; an outstanding statement gets no answer, which promises nothing about it. */
     data class CloseSession(val session: SessionNumber) : SessionEffect
 
     /** Connects to a server. */
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/AbandonedChanges.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/AbandonedChanges.kt
@@ -1,6 +1,7 @@
 package dev.hibiscusreach.sessions.part
 
 import dev.hibiscusreach.core.model.Endpoint
+import dev.hibiscusreach.core.model.Millis
 import dev.hibiscusreach.sessions.event.PeerOutcome
 import dev.hibiscusreach.sessions.event.SessionEffect
 import dev.hibiscusreach.sessions.event.SessionEvent
@@ -17,19 +18,18 @@
     fun review(turn: Turn, group: GroupView) {
         val changes = turn.settings.changes
         val rank = Ranks.own(turn, group.name) ?: return
-        val delay = changes.rankDelay * rank
+        val changer = changer(turn, group)
         val adoptedAt = group.adoptedAt ?: turn.now
-        val seenAt = maxOf(adoptedAt, group.changerSeenAt ?: adoptedAt)
+        val seenAt = group.changerSeenAt?.takeIf { changer != null && it > adoptedAt } ?: adoptedAt
         val askedAt = group.changerAskedAt?.takeIf { it > adoptedAt } ?: adoptedAt
+        val patience = if (changer == null) Millis(0) else changes.takeover
         when {
             turn.state.fleet.lost || turn.state.stoppingSince != null -> Unit
-            changer(turn, group) == null && turn.now - adoptedAt > delay ->
-                Changes.begin(turn, group.name, ChangeReason.ABANDONED)
-            turn.now - seenAt > changes.takeover + delay ->
+            turn.now - seenAt > patience + changes.rankDelay * rank ->
                 Changes.begin(turn, group.name, ChangeReason.ABANDONED)
             turn.now - askedAt > changes.takeoverCheck -> {
                 turn.put(group.copy(changerAskedAt = turn.now))
-                changer(turn, group)?.let { turn.emit(SessionEffect.AskPeer(it, PeerRequest.Ping)) }
+                changer?.let { turn.emit(SessionEffect.AskPeer(it, PeerRequest.Ping)) }
                 Leases.read(turn)
             }
         }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/AnsweredStatement.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/AnsweredStatement.kt
@@ -1,6 +1,5 @@
 package dev.hibiscusreach.sessions.part
 
-import dev.hibiscusreach.sessions.model.CallerStatement
 import dev.hibiscusreach.sessions.model.ServerAnswer
 import dev.hibiscusreach.sessions.state.PendingStatement
 import dev.hibiscusreach.sessions.state.ServerConnection
@@ -15,8 +14,8 @@
     val answer: ServerAnswer,
 ) {
     /** The transaction that the statement belongs to; null if it stands alone. */
-    val running: Transaction.Running? get() = session.transaction as? Transaction.Running
+    val running: Transaction.Running? get() = session.running
 
     /** Whether the statement ends a transaction. */
-    val commits: Boolean get() = pending.statement is CallerStatement.Commit
+    val commits: Boolean get() = pending.commits
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Arrivals.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Arrivals.kt
@@ -123,7 +123,7 @@
     }
 
     private fun rollback(turn: Turn, session: Session, event: SessionEvent.StatementArrived) {
-        val running = session.transaction as? Transaction.Running
+        val running = session.running
         answerLocally(
             turn,
             session.copy(transaction = Transaction.None),
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Deadlines.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Deadlines.kt
@@ -3,7 +3,6 @@
 import dev.hibiscusreach.core.model.Access
 import dev.hibiscusreach.core.model.ErrorKind
 import dev.hibiscusreach.core.model.ServerName
-import dev.hibiscusreach.sessions.model.CallerStatement
 import dev.hibiscusreach.sessions.model.GroupName
 import dev.hibiscusreach.sessions.state.PendingStatement
 import dev.hibiscusreach.sessions.state.PendingStatement.Phase
@@ -31,7 +30,7 @@
     }
 
     private fun reviewIdle(turn: Turn, session: Session) {
-        val running = session.transaction as? Transaction.Running ?: return
+        val running = session.running ?: return
         val limit = turn.state.configuration?.transactionIdleLimit ?: return
         if (turn.now - running.usedAt > limit) endTransaction(turn, session, running, "the transaction was idle")
     }
@@ -42,7 +41,7 @@
             is Phase.Beginning -> reviewSent(turn, session, pending)
             is Phase.Sent -> reviewSent(turn, session, pending)
             is Phase.Repeating -> {
-                val running = session.transaction as? Transaction.Running
+                val running = session.running
                 if (running != null && turn.now >= phase.at) {
                     Sending.inTransaction(turn, session, pending, running)
                 }
@@ -82,8 +81,8 @@
     }
 
     private fun expire(turn: Turn, session: Session, pending: PendingStatement, server: ServerName) {
-        val running = session.transaction as? Transaction.Running
-        val commits = pending.statement is CallerStatement.Commit
+        val running = session.running
+        val commits = pending.commits
         val changes = if (commits) running?.wrote ?: false else running == null && pending.access == Access.WRITE
         val began = pending.phase !is Phase.Beginning
         val kind = if (changes && began) ErrorKind.OUTCOME_UNKNOWN else ErrorKind.DEADLINE_EXCEEDED
@@ -100,7 +99,7 @@
 /** The sessions whose statement or transaction is at [server]. */
 internal fun Turn.sessionsAt(group: GroupName, server: ServerName): List<Session> =
     state.active.mapNotNull { session(it) }.filter { session ->
-        val running = (session.transaction as? Transaction.Running)?.connection
+        val running = session.running?.connection
         val held = running ?: PoolUse.heldBy(session.pending)
         val connection = held?.let { state.connections[it] }
         connection?.server == server && connection.group == group
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/DepartedReplicas.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/DepartedReplicas.kt
@@ -35,7 +35,7 @@
     /** The [record] of an intent to replace the primary, with what its successor has to prove. */
     fun required(turn: Turn, group: GroupView, record: FleetRecord.Group): FleetRecord.Group {
         if (!SuccessorChoice.commitsWaitForReplicas(turn, group)) return record
-        val registered = SuccessorChoice.servers(turn, group).map { it.name }.filter { it != record.primary }
+        val registered = SuccessorChoice.replicas(turn, group).map { it.name }
         val floor = listOfNotNull(record.floor, group.departedFloor).maxOrNull()
         return record.copy(replicas = record.replicas + registered + group.departed.keys, floor = floor)
     }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Dispatch.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Dispatch.kt
@@ -16,7 +16,7 @@
 internal object Dispatch {
     /** Starts a statement that has just arrived. */
     fun start(turn: Turn, session: Session, pending: PendingStatement) {
-        val running = session.transaction as? Transaction.Running
+        val running = session.running
         when {
             running != null -> Sending.inTransaction(turn, session, pending, running)
             !assign(turn, session, pending) -> enqueue(turn, session, pending)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Draining.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Draining.kt
@@ -42,7 +42,7 @@
             .mapNotNull { turn.session(it) }
             .filter { it.pending == null }
             .forEach { session ->
-                val running = session.transaction as? Transaction.Running
+                val running = session.running
                 if (running != null) Deadlines.endTransaction(turn, session, running, "the proxy is stopping")
             }
 
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Expulsions.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Expulsions.kt
@@ -17,7 +17,7 @@
 
     /** Expels the proxies at [peers]. */
     fun expel(turn: Turn, peers: Set<Endpoint>) {
-        for ((key, proxy) in turn.state.fleet.members()) {
+        for ((key, proxy) in turn.state.fleet.members) {
             val revision = turn.state.fleet.records[key]?.revision
             if (proxy.peerEndpoint in peers && revision != null) {
                 turn.log("proxy expelled", "node" to proxy.identity.node, "revision" to revision)
@@ -29,7 +29,7 @@
     // A proxy that hears from fewer than half of the others may be the one that is cut off.
     private fun expelSilent(turn: Turn) {
         val fleet = turn.state.fleet
-        val others = fleet.members().filterValues { it.identity.node != turn.state.place.identity.node }
+        val others = fleet.members.filterValues { it.identity.node != turn.state.place.identity.node }
         val heard = others.values.count { isHeard(fleet.peers[it.peerEndpoint]) }
         val hearsMost = (heard + 1) * 2 > others.size + 1
         if (fleet.lost || !Primaries.leaseHolds(turn)) return
@@ -60,7 +60,7 @@
 
     private fun isFirst(turn: Turn): Boolean =
         turn.state.fleet
-            .members()
+            .members
             .values
             .minOfOrNull { it.identity.node } == turn.state.place.identity.node
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Failures.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Failures.kt
@@ -4,7 +4,6 @@
 import dev.hibiscusreach.core.model.ErrorKind
 import dev.hibiscusreach.core.model.ServerName
 import dev.hibiscusreach.sessions.event.SessionCounter
-import dev.hibiscusreach.sessions.model.CallerStatement
 import dev.hibiscusreach.sessions.model.ServerAnswer
 import dev.hibiscusreach.sessions.model.ServerFailure
 import dev.hibiscusreach.sessions.model.SessionReply
@@ -66,8 +65,7 @@
                 reply(turn, session.copy(transaction = running.copy(usedAt = turn.now)), statement, failed)
             else -> {
                 Answers.giveBack(turn, statement.connection, statement.answer)
-                val ended = if (statement.commits) Transaction.None else Transaction.Failed
-                reply(turn, session.copy(transaction = ended), statement, failed)
+                reply(turn, session.copy(transaction = pending.transactionAfterFailure), statement, failed)
             }
         }
     }
@@ -85,10 +83,7 @@
     private fun afterRefusal(session: Session, pending: PendingStatement): Session =
         when (session.transaction) {
             is Transaction.None -> session
-            else -> {
-                val commits = pending.statement is CallerStatement.Commit
-                session.copy(transaction = if (commits) Transaction.None else Transaction.Failed)
-            }
+            else -> session.copy(transaction = pending.transactionAfterFailure)
         }
 
     private fun reply(
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Fences.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Fences.kt
@@ -3,7 +3,6 @@
 import dev.hibiscusreach.core.model.Access
 import dev.hibiscusreach.sessions.event.PeerRequestNumber
 import dev.hibiscusreach.sessions.event.SessionEffect
-import dev.hibiscusreach.sessions.model.CallerStatement
 import dev.hibiscusreach.sessions.model.GroupName
 import dev.hibiscusreach.sessions.model.PeerAnswer
 import dev.hibiscusreach.sessions.model.PeerRequest
@@ -11,7 +10,6 @@
 import dev.hibiscusreach.sessions.state.GroupView
 import dev.hibiscusreach.sessions.state.PendingStatement.Phase
 import dev.hibiscusreach.sessions.state.Session
-import dev.hibiscusreach.sessions.state.Transaction
 
 /**
  * Stops the use of a primary that is being replaced. A fence is settled once nothing that was sent to the primary is
@@ -76,16 +74,16 @@
         group.record?.let { turn.sessionsAt(group.name, it.primary) }.orEmpty()
 
     private fun holdsFence(session: Session, planned: Boolean): Boolean {
-        val running = session.transaction as? Transaction.Running
+        val running = session.running
         val pending = session.pending
-        val commits = pending?.statement is CallerStatement.Commit && running?.wrote == true
+        val commits = pending?.commits == true && running?.wrote == true
         val writes = running == null && pending?.access == Access.WRITE
         return pending?.phase is Phase.Sent && (commits || writes) || planned && running != null
     }
 
     // A transaction whose commit was sent ends with the answer to it.
     private fun endTransaction(turn: Turn, session: Session) {
-        val running = session.transaction as? Transaction.Running ?: return
+        val running = session.running ?: return
         if (running.begun.readOnly) return
         if (session.pending == null) Deadlines.endTransaction(turn, session, running, "the primary is being replaced")
     }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupReviews.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupReviews.kt
@@ -54,8 +54,7 @@
     }
 
     private fun askFirst(turn: Turn, group: GroupView) {
-        val servers = turn.state.servers.values.map { it.server }
-        val primary = servers.find { it.group == group.name && it.role == ServerRole.PRIMARY } ?: return
+        val primary = turn.servers(group.name).find { it.role == ServerRole.PRIMARY } ?: return
         turn.put(group.copy(statusAskedAt = turn.now))
         turn.emit(SessionEffect.SendControl(primary, ControlRequest.Status))
     }
@@ -93,7 +92,7 @@
     fun own(turn: Turn, group: GroupName): Int? {
         val nodes =
             turn.state.fleet
-                .members()
+                .members
                 .values
                 .map { it.identity.node }
                 .sortedBy { (it + group.value).hashCode() }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/HealthNotes.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/HealthNotes.kt
@@ -38,6 +38,10 @@
         turn.updateHealth(server) { it.copy(behindUntil = until) }
     }
 
+    /** Whether no new connection to the server is opened for now. */
+    fun isPaused(turn: Turn, server: ServerName): Boolean =
+        turn.health(server).connectAfter?.let { turn.now < it } ?: false
+
     /** Whether the server has not answered for longer than a statement takes. */
     fun isSilent(turn: Turn, server: ServerName): Boolean {
         val since = turn.health(server).silentSince
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Hopeless.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Hopeless.kt
@@ -30,7 +30,7 @@
 
     // Every waiting statement before this one takes its share of the group's connections.
     private fun expectedWait(turn: Turn, pending: PendingStatement): Millis {
-        val servers = turn.state.servers.values.map { it.server }.filter { it.group == pending.route.group }
+        val servers = turn.servers(pending.route.group)
         val connections = servers.sumOf { Pools.limit(turn, it) }
         val latencies = servers.mapNotNull { turn.health(it.name).latency?.value }
         val latency = if (latencies.isEmpty()) turn.settings.connections.expectedLatency.value else latencies.max()
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Losses.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Losses.kt
@@ -4,7 +4,6 @@
 import dev.hibiscusreach.core.model.ErrorKind
 import dev.hibiscusreach.sessions.event.SessionCounter
 import dev.hibiscusreach.sessions.event.SessionEvent
-import dev.hibiscusreach.sessions.model.CallerStatement
 import dev.hibiscusreach.sessions.model.ServerFailure
 import dev.hibiscusreach.sessions.state.PendingStatement
 import dev.hibiscusreach.sessions.state.PendingStatement.Phase
@@ -72,7 +71,7 @@
     private fun afterLoss(turn: Turn, connection: ServerConnection) {
         val session = connection.heldBy?.let { turn.session(it) } ?: return
         val pending = session.pending
-        val running = session.transaction as? Transaction.Running
+        val running = session.running
         when {
             running != null && pending != null -> lostInTransaction(turn, session, pending, running)
             running != null -> {
@@ -90,10 +89,10 @@
         pending: PendingStatement,
         running: Transaction.Running,
     ) {
-        val commits = pending.statement is CallerStatement.Commit
         val sent = pending.phase is Phase.Sent
-        val kind = if (commits && running.wrote && sent) ErrorKind.OUTCOME_UNKNOWN else ErrorKind.TRANSACTION_ENDED
-        val next = session.copy(transaction = if (commits) Transaction.None else Transaction.Failed)
+        val mayHaveCommitted = pending.commits && running.wrote && sent
+        val kind = if (mayHaveCommitted) ErrorKind.OUTCOME_UNKNOWN else ErrorKind.TRANSACTION_ENDED
+        val next = session.copy(transaction = pending.transactionAfterFailure)
         val message = "the transaction's server connection was lost"
         Replies.pending(turn, next, pending, Replies.refusal(turn, next, kind, message))
     }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Members.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Members.kt
@@ -39,7 +39,7 @@
     /** The peer endpoints of all other proxies that are not expelled. */
     fun peers(turn: Turn): Set<Endpoint> =
         turn.state.fleet
-            .members()
+            .members
             .values
             .filter { it.identity.node != turn.state.place.identity.node }
             .map { it.peerEndpoint }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Pools.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Pools.kt
@@ -22,15 +22,15 @@
     /** Connections that this proxy may have to [server]: an equal share for each running proxy. */
     fun limit(turn: Turn, server: RegisteredServer): Int {
         val rule = turn.state.configuration?.groups?.get(server.group) ?: return 0
-        val proxies = turn.state.fleet.members().size
+        val proxies = turn.state.fleet.members.size
         val shared = rule.connectionLimit * turn.settings.connections.sharePercent / FULL_PERCENT
         return maxOf(1, shared / maxOf(1, proxies))
     }
 
     /** Opens a connection unless the limit or a pause forbids it. */
     fun open(turn: Turn, server: RegisteredServer): Boolean {
-        val paused = turn.health(server.name).connectAfter?.let { turn.now < it } ?: false
-        if (paused || connections(turn, server.name).size >= limit(turn, server)) return false
+        val full = connections(turn, server.name).size >= limit(turn, server)
+        if (full || HealthNotes.isPaused(turn, server.name)) return false
         val number = ConnectionNumber(turn.state.nextConnection)
         put(turn, ServerConnection(number, server.name, server.group))
         turn.state = turn.state.copy(nextConnection = turn.state.nextConnection + 1)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Primaries.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Primaries.kt
@@ -15,6 +15,8 @@
 /** Which server leads a group, and how fresh a read has to be. */
 internal object Primaries {
     private const val NO_MARGIN = 0L
+
+    /** Bounds the memory of a group; an older sample would only let more replicas serve a read. */
     private const val KEPT_HEADS = 64
 
     /** The primary, if it may be used now: the record is stable, not fenced, and the lease holds. */
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Publications.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Publications.kt
@@ -31,8 +31,8 @@
     }
 
     private fun resumeReplicas(turn: Turn, group: GroupView, primary: ServerName) =
-        SuccessorChoice
-            .servers(turn, group)
+        turn
+            .servers(group.name)
             .filter { it.name != primary }
             .forEach { turn.emit(SessionEffect.SendControl(it, ControlRequest.Resume)) }
 
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Replies.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Replies.kt
@@ -5,7 +5,6 @@
 import dev.hibiscusreach.core.model.RetryAdvice
 import dev.hibiscusreach.sessions.event.SessionCounter
 import dev.hibiscusreach.sessions.event.SessionEffect
-import dev.hibiscusreach.sessions.model.CallerStatement
 import dev.hibiscusreach.sessions.model.SessionReply
 import dev.hibiscusreach.sessions.state.PendingStatement
 import dev.hibiscusreach.sessions.state.Session
@@ -56,7 +55,7 @@
             "request" to pending.identifier,
             "session" to session.number.value,
             "database" to session.database,
-            "statement" to if (pending.statement is CallerStatement.Commit) "commit" else pending.access.name,
+            "statement" to if (pending.commits) "commit" else pending.access.name,
             "outcome" to outcome(reply),
             "reason" to (reply as? SessionReply.Refused)?.message,
             "server" to connection?.server,
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Sending.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Sending.kt
@@ -16,7 +16,7 @@
     /** Sends a statement on the connection of its transaction. */
     fun inTransaction(turn: Turn, session: Session, pending: PendingStatement, running: Transaction.Running) {
         val connection = turn.state.connections[running.connection]
-        val commits = pending.statement is CallerStatement.Commit && running.wrote
+        val commits = pending.commits && running.wrote
         when {
             connection == null -> {
                 val message = "the transaction's server connection was lost"
@@ -68,8 +68,7 @@
         Primaries.usable(turn, turn.group(connection.group), turn.settings.leases.writeMargin) == connection.server
 
     private fun abort(turn: Turn, session: Session, pending: PendingStatement, message: String) {
-        val commits = pending.statement is CallerStatement.Commit
-        val next = session.copy(transaction = if (commits) Transaction.None else Transaction.Failed)
+        val next = session.copy(transaction = pending.transactionAfterFailure)
         val reply = Replies.refusal(turn, next, ErrorKind.TRANSACTION_ENDED, message)
         Replies.pending(turn, next, pending, reply)
     }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ServerSelection.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ServerSelection.kt
@@ -67,18 +67,17 @@
         pending: PendingStatement,
         position: Position,
     ): List<Candidate> =
-        turn.state.servers.values
-            .map { it.server }
-            .filter { it.group == group.name && !it.leaving && it.name != group.record?.primary }
-            .filter { it.name !in pending.excluded && isReachable(turn, it.name) && !isBehind(turn, it.name) }
+        SuccessorChoice
+            .replicas(turn, group)
+            .filter { !it.leaving && it.name !in pending.excluded }
+            .filter { isReachable(turn, it.name) && !isBehind(turn, it.name) }
             .map { Candidate(it, position) }
 
     private fun isBehind(turn: Turn, name: ServerName) =
         turn.health(name).behindUntil?.let { turn.now < it } ?: false
 
     private fun isReachable(turn: Turn, name: ServerName): Boolean {
-        val health = turn.health(name)
-        val paused = health.connectAfter?.let { turn.now < it } ?: false
-        return !HealthNotes.isSilent(turn, name) && (!paused || Pools.connections(turn, name).any { it.open })
+        val connects = !HealthNotes.isPaused(turn, name) || Pools.connections(turn, name).any { it.open }
+        return connects && !HealthNotes.isSilent(turn, name)
     }
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Servers.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Servers.kt
@@ -2,6 +2,7 @@
 
 import dev.hibiscusreach.core.model.ServerName
 import dev.hibiscusreach.sessions.event.SessionEvent
+import dev.hibiscusreach.sessions.model.GroupName
 import dev.hibiscusreach.sessions.model.RegisteredServer
 import dev.hibiscusreach.sessions.model.RoutingConfiguration
 import dev.hibiscusreach.sessions.state.KnownServer
@@ -43,7 +44,7 @@
             .forEach { noteMissing(turn, it.server) }
     }
 
-    /** Removes servers whose entry has been missing for too long, and closes idle connections to leaving ones. */
+    /** Removes servers whose entry has been missing for too long. */
     fun review(turn: Turn) {
         val limit = turn.settings.connections.missingLimit
         turn.state.servers.values
@@ -88,3 +89,9 @@
             .filter { it.heldBy == null }
             .forEach { Pools.close(turn, it) }
 }
+
+/** The registered servers of [group]. */
+internal fun Turn.servers(group: GroupName): List<RegisteredServer> =
+    state.servers.values
+        .map { it.server }
+        .filter { it.group == group }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionLifecycle.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionLifecycle.kt
@@ -7,7 +7,6 @@
 import dev.hibiscusreach.sessions.event.SessionNumber
 import dev.hibiscusreach.sessions.state.ArrivingSession
 import dev.hibiscusreach.sessions.state.Session
-import dev.hibiscusreach.sessions.state.Transaction
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 
@@ -67,7 +66,7 @@
         val state = turn.state
         turn.state =
             state.copy(sessions = state.sessions.remove(session.number), active = state.active.remove(session.number))
-        val running = session.transaction as? Transaction.Running
+        val running = session.running
         val held = running?.connection ?: PoolUse.heldBy(session.pending)
         // An outstanding statement keeps the connection until its answer; only then is it known what to roll back.
         if (held != null) PoolUse.abandon(turn, held, rollback = running != null)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Successions.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Successions.kt
@@ -48,8 +48,7 @@
         val leader = change.statuses.entries.find { leads(record, it.key, it.value) }
         val incumbent = change.statuses[record.primary]
         val waited = turn.now - change.phaseSince
-        val servers = SuccessorChoice.servers(turn, group)
-        val complete = servers.all { it.name in change.statuses }
+        val complete = turn.servers(group.name).all { it.name in change.statuses }
         val leaving = turn.state.server(record.primary)?.leaving ?: true
         val successor = SuccessorChoice.successor(turn, group, change)
         when {
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorChoice.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorChoice.kt
@@ -15,7 +15,7 @@
         val change = group.change ?: return
         val term = group.record?.term?.next() ?: return
         val pauses = pausesReplicas(turn, group, change)
-        for (server in servers(turn, group)) {
+        for (server in turn.servers(group.name)) {
             val isPrimary = server.name == group.record.primary
             val command = if (pauses && !isPrimary) ControlRequest.Pause(term.number) else ControlRequest.Status
             turn.emit(SessionEffect.SendControl(server, command))
@@ -30,17 +30,14 @@
     fun pausesReplicas(turn: Turn, group: GroupView, change: PrimaryChange): Boolean =
         commitsWaitForReplicas(turn, group) && !change.reason.planned
 
-    /** The registered servers of the group. */
-    fun servers(turn: Turn, group: GroupView): List<RegisteredServer> =
-        turn.state.servers.values
-            .map { it.server }
-            .filter { it.group == group.name }
+    /** The registered servers of the group that do not lead it. */
+    fun replicas(turn: Turn, group: GroupView): List<RegisteredServer> =
+        turn.servers(group.name).filter { it.name != group.record?.primary }
 
     /** The replica that has received the most, if it may take the group over. */
     fun successor(turn: Turn, group: GroupView, change: PrimaryChange): ServerName? {
-        val replicas = servers(turn, group).filter { it.name != group.record?.primary }
         val candidate =
-            replicas
+            replicas(turn, group)
                 .filter { !it.leaving && it.name !in change.rejected && it.name in change.statuses }
                 .sortedBy { ServerSelection.cost(turn, it).value }
                 .maxByOrNull { change.statuses.getValue(it.name).received }
@@ -55,12 +52,13 @@
      * rest before it is promoted.
      */
     fun hasAllCommits(turn: Turn, group: GroupView, change: PrimaryChange, candidate: ServerName): Boolean {
-        val record = group.record ?: return false
-        val registered = servers(turn, group).map { it.name }.filter { it != record.primary }
-        val heard = (record.replicas + registered).all { it in change.statuses }
+        val needsNoReplica = !commitsWaitForReplicas(turn, group) || isHandedOver(group, change)
+        val record = group.record
+        if (needsNoReplica || record == null) return needsNoReplica
+        val holders = record.replicas + replicas(turn, group).map { it.name }
         val floor = record.floor
         val reached = floor == null || change.statuses.getValue(candidate).received >= floor
-        return !commitsWaitForReplicas(turn, group) || isHandedOver(group, change) || heard && reached
+        return reached && holders.all { it in change.statuses }
     }
 
     /** Whether the primary has reported as such, so that it can hand its log over. */
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/Session.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/Session.kt
@@ -26,7 +26,10 @@
     val ownCommit: OwnCommit? = null,
     val transaction: Transaction = Transaction.None,
     val pending: PendingStatement? = null,
-)
+) {
+    /** The open transaction, if it holds a server connection. */
+    val running: Transaction.Running? get() = transaction as? Transaction.Running
+}
 
 /** Position of a session's latest commit. */
 data class OwnCommit(val group: GroupName, val position: Position)
@@ -79,6 +82,12 @@
     /** Servers that could not serve the statement. */
     val excluded: Set<ServerName> = emptySet(),
 ) {
+    /** Whether the statement ends its transaction. */
+    val commits: Boolean get() = statement is CallerStatement.Commit
+
+    /** State of a transaction in which the statement failed. */
+    val transactionAfterFailure: Transaction get() = if (commits) Transaction.None else Transaction.Failed
+
     /** How far the statement has come. */
     sealed interface Phase {
         /** Waits for a connection, not before [notBefore]. */
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
@@ -82,12 +82,13 @@
     val pingedAt: MonotonicTime? = null,
     val nextPing: Int = 0,
 ) {
-    /** The other proxies that are not expelled, by their key. */
-    fun members(): Map<FleetKey, FleetRecord.Proxy> =
+    /** The proxies that are not expelled, by their key; looked at for each statement that opens a connection. */
+    val members: Map<FleetKey, FleetRecord.Proxy> by lazy {
         records
             .mapNotNull { (key, stored) -> (stored.record as? FleetRecord.Proxy)?.let { key to it } }
             .filter { !it.second.expelled }
             .toMap()
+    }
 }
 
 /** What a peer answered to pings. */
