--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/SessionReducer.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/SessionReducer.kt
@@ -7,7 +7,6 @@
 import dev.hibiscusreach.sessions.event.TimerSubject
 import dev.hibiscusreach.sessions.part.FleetEvents
 import dev.hibiscusreach.sessions.part.GroupMonitoring
-import dev.hibiscusreach.sessions.part.LeaseRenewal
 import dev.hibiscusreach.sessions.part.PeerMonitoring
 import dev.hibiscusreach.sessions.part.Reduction
 import dev.hibiscusreach.sessions.part.ServerAnswers
@@ -17,6 +16,7 @@
 import dev.hibiscusreach.sessions.part.SessionLifecycle
 import dev.hibiscusreach.sessions.part.StatementArrivals
 import dev.hibiscusreach.sessions.part.StatementDeadlines
+import dev.hibiscusreach.sessions.part.StoreSources
 import dev.hibiscusreach.sessions.state.SessionProxyState
 
 /** The state after an event, and the effects to carry out in order. */
@@ -62,10 +62,10 @@
             TimerSubject.GROUPS -> {
                 startTimer(reduction, subject, reduction.settings.changes.checkPeriod)
                 ServerRegistry.review(reduction)
+                StoreSources.review(reduction)
                 PeerMonitoring.review(reduction)
                 GroupMonitoring.review(reduction)
             }
-            TimerSubject.LEASE -> LeaseRenewal.renew(reduction)
         }
 
     private fun startTimer(reduction: Reduction, subject: TimerSubject, delay: Millis) =
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEffect.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEffect.kt
@@ -8,6 +8,8 @@
 import dev.hibiscusreach.core.model.ServerName
 import dev.hibiscusreach.sessions.model.FleetKey
 import dev.hibiscusreach.sessions.model.FleetRecord
+import dev.hibiscusreach.sessions.model.ForwardedAnswer
+import dev.hibiscusreach.sessions.model.ForwardedStatement
 import dev.hibiscusreach.sessions.model.GroupName
 import dev.hibiscusreach.sessions.model.PeerAnswer
 import dev.hibiscusreach.sessions.model.PeerRequest
@@ -26,6 +28,16 @@
     /** Answers the outstanding statement of a session. */
     data class Reply(val session: SessionNumber, val reply: SessionReply) : SessionEffect
 
+    /** Forwards a statement of [session] to a home; its answer or the loss of the link follows as an event. */
+    data class ForwardStatement(val session: SessionNumber, val home: Endpoint, val statement: ForwardedStatement) :
+        SessionEffect
+
+    /** Tells a home to roll back and forget what it holds for [session]; nothing follows. */
+    data class EndForwarded(val session: SessionNumber, val home: Endpoint) : SessionEffect
+
+    /** Answers the statement that a peer forwarded for [session]. */
+    data class AnswerForwarded(val session: SessionNumber, val answer: ForwardedAnswer) : SessionEffect
+
     /** Closes a session. An outstanding statement gets no answer, so its outcome stays unknown to the caller. */
     data class CloseSession(val session: SessionNumber) : SessionEffect
 
@@ -38,9 +50,12 @@
     /** Sends statements; one answer follows for each, in order. */
     data class SendStatements(val connection: ConnectionNumber, val statements: List<ServerStatement>) : SessionEffect
 
-    /** Reads all fleet records. */
+    /** Reads the latest fleet records from the store itself, beside the reads that go on. */
     data object ReadFleet : SessionEffect
 
+    /** Reads the store's objects through [peer] from now on, or from the store itself if it is null. */
+    data class SelectStoreSource(val peer: Endpoint?) : SessionEffect
+
     /** Writes a record if it still has [expectedRevision]; null means that it must not exist. */
     data class WriteFleet(val key: FleetKey, val record: FleetRecord, val expectedRevision: Long?) : SessionEffect
 
@@ -84,5 +99,6 @@
     RETRIES("hibiscusreach.session.retries", "reason"),
     READS("hibiscusreach.session.reads", "role"),
     CONNECTIONS("hibiscusreach.session.connections", "event"),
+    FORWARDS("hibiscusreach.session.forwards", "event"),
     PRIMARY_CHANGES("hibiscusreach.session.primary.changes", "event"),
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEvent.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEvent.kt
@@ -4,10 +4,13 @@
 import dev.hibiscusreach.core.event.ConnectionNumber
 import dev.hibiscusreach.core.model.DatabaseName
 import dev.hibiscusreach.core.model.Endpoint
+import dev.hibiscusreach.core.model.Millis
 import dev.hibiscusreach.core.model.MonotonicTime
 import dev.hibiscusreach.core.model.ServerName
 import dev.hibiscusreach.sessions.model.CallerStatement
 import dev.hibiscusreach.sessions.model.FleetKey
+import dev.hibiscusreach.sessions.model.ForwardedAnswer
+import dev.hibiscusreach.sessions.model.ForwardedStatement
 import dev.hibiscusreach.sessions.model.GroupName
 import dev.hibiscusreach.sessions.model.PeerAnswer
 import dev.hibiscusreach.sessions.model.PeerRequest
@@ -33,9 +36,6 @@
 
     /** Checks of servers, peers and primaries, and the progress of changes of primaries. */
     GROUPS,
-
-    /** Renewal of the lease on the group records. */
-    LEASE,
 }
 
 /** An input of the reducer. */
@@ -51,9 +51,25 @@
         val session: SessionNumber,
         val identifier: String,
         val statement: CallerStatement,
+        /** Time for which the statement waited at the proxy that forwarded it. */
+        val waited: Millis = Millis(0),
     ) : SessionEvent
 
-    /** A session's connection has ended. */
+    /** A peer forwarded a statement; its previous one in the same session has been answered. */
+    data class StatementForwarded(val session: SessionNumber, val statement: ForwardedStatement) : SessionEvent
+
+    /** A home answered the statement [identifier] that was forwarded for [session]. */
+    data class ForwardAnswered(
+        val session: SessionNumber,
+        val home: Endpoint,
+        val identifier: String,
+        val answer: ForwardedAnswer,
+    ) : SessionEvent
+
+    /** The link to a home failed. Unless it was [connected], none of the unanswered statements has reached the home. */
+    data class HomeLinkLost(val home: Endpoint, val connected: Boolean) : SessionEvent
+
+    /** A session's connection, or the link through which its statements are forwarded, has ended. */
     data class SessionEnded(val session: SessionNumber) : SessionEvent
 
     /** A server accepted a connection. */
@@ -74,7 +90,7 @@
     /** The list of registered servers was read or has changed. */
     data class ServersRead(val servers: Map<ServerName, RegisteredServer>) : SessionEvent
 
-    /** The fleet's records were read with a call that was sent at [sentAt]. */
+    /** The fleet's records were read with a call to the store that was sent at [sentAt], by this proxy or a peer. */
     data class FleetRead(val sentAt: MonotonicTime, val records: Map<FleetKey, StoredRecord>) : SessionEvent
 
     /** The fleet's records could not be read. */
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/CallerStatement.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/CallerStatement.kt
@@ -1,6 +1,7 @@
 package dev.hibiscusreach.sessions.model
 
 import dev.hibiscusreach.core.model.Access
+import kotlinx.serialization.Serializable
 
 /** A statement of a caller's session, decoded from the caller's protocol. */
 sealed interface CallerStatement {
@@ -33,4 +34,5 @@
 }
 
 /** A prepared statement without its arguments. */
+@Serializable
 data class PreparedStatement(val access: Access, val text: String)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/RoutingConfiguration.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/RoutingConfiguration.kt
@@ -2,20 +2,30 @@
 
 import dev.hibiscusreach.core.model.DatabaseName
 import dev.hibiscusreach.core.model.Millis
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
 
 /** Consistency level of the reads of a route. */
+@Serializable
 sealed interface Consistency {
     /** Reads see every acknowledged commit. */
+    @Serializable
+    @SerialName("primary")
     data object Primary : Consistency
 
     /** Reads see every commit that was acknowledged more than [maximumAge] before. */
+    @Serializable
+    @SerialName("bounded")
     data class BoundedStaleness(val maximumAge: Millis) : Consistency
 
     /** As [BoundedStaleness], and reads see every commit of their own session. */
+    @Serializable
+    @SerialName("ownWrites")
     data class ReadYourWrites(val maximumAge: Millis) : Consistency
 }
 
 /** Name of a group of one primary and its replicas. */
+@Serializable
 @JvmInline
 value class GroupName(val value: String) : Comparable<GroupName> {
     override fun compareTo(other: GroupName): Int = value.compareTo(other.value)
@@ -24,6 +34,7 @@
 }
 
 /** The operators' settings for one database. */
+@Serializable
 data class Route(
     val database: DatabaseName,
     val group: GroupName,
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/SessionReply.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/SessionReply.kt
@@ -3,13 +3,18 @@
 import dev.hibiscusreach.core.model.ErrorKind
 import dev.hibiscusreach.core.model.Millis
 import dev.hibiscusreach.core.model.Position
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
 
 /** The reply to one statement of a caller. */
+@Serializable
 sealed interface SessionReply {
     /** Transaction state of the session after the statement. */
     val status: TransactionStatus
 
     /** The statement was carried out. */
+    @Serializable
+    @SerialName("completed")
     data class Completed(
         val rows: List<String> = emptyList(),
         /** The server's proof; null if the proxy answered without a server. */
@@ -19,6 +24,8 @@
     ) : SessionReply
 
     /** The proxy refused the statement. */
+    @Serializable
+    @SerialName("refused")
     data class Refused(
         val kind: ErrorKind,
         val message: String,
@@ -28,6 +35,8 @@
     ) : SessionReply
 
     /** The server reported a failure, which is passed on unchanged. */
+    @Serializable
+    @SerialName("serverFailed")
     data class ServerFailed(
         val code: String,
         val message: String,
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/AdmissionControl.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/AdmissionControl.kt
@@ -13,6 +13,7 @@
         val group = reduction.group(pending.route.group)
         val needsPrimary = ServerSelection.needsPrimary(session, pending)
         return when {
+            StatementForwarding.isNeeded(reduction, session, pending) -> null
             pending.route.group !in reduction.state.configuration?.groups.orEmpty() ->
                 ErrorKind.NO_CONFIGURATION to "the group is not configured"
             needsPrimary && !PrimaryStatus.leaseIsValid(reduction) && reduction.state.fleet.storeLost ->
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangeFencing.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangeFencing.kt
@@ -10,12 +10,12 @@
 import dev.hibiscusreach.sessions.state.GroupView
 import dev.hibiscusreach.sessions.state.PrimaryChange
 
-/** Ensures that no proxy uses the old primary any more before a successor is chosen. */
+/** Ensures that no home of the group uses the old primary any more before a successor is chosen. */
 internal object ChangeFencing {
-    /** Starts the fencing phase and fences the primary on this proxy; the other proxies are asked by [advance]. */
+    /** Starts the fencing phase and fences the primary on this proxy; the other homes are asked by [advance]. */
     fun start(reduction: Reduction, group: GroupView, change: PrimaryChange) {
         val epoch = group.record?.epoch ?: return
-        val peers = PeerMonitoring.peers(reduction)
+        val peers = GroupHomes.otherEndpoints(reduction, group.name)
         val fencing = change.copy(recordedAt = reduction.now, unfenced = peers, asked = peers, membersRead = false)
         PrimaryChanges.enterPhase(reduction, group, fencing, ChangePhase.FENCING)
         PrimaryFencing.fencePrimary(reduction, group.name, epoch, change.reason.planned)
@@ -23,12 +23,12 @@
         PrimaryChanges.advance(reduction, group.name)
     }
 
-    /** Ends the phase once every proxy has confirmed the fence or the leases of the others have expired. */
+    /** Ends the phase once every home has confirmed the fence or the leases of the others have expired. */
     fun advance(reduction: Reduction, group: GroupView, change: PrimaryChange) {
         val settled = group.fence?.settled ?: true
         val recordedAt = change.recordedAt ?: reduction.now
-        val confirmed =
-            change.membersRead && change.unfenced.isEmpty() && PeerMonitoring.expulsionWait(reduction).value == 0L
+        val expulsionWait = PeerMonitoring.expulsionWait(reduction, group.name)
+        val confirmed = change.membersRead && change.unfenced.isEmpty() && expulsionWait.value == 0L
         val leasesExpired = reduction.now > recordedAt + reduction.settings.leases.duration
         when {
             settled && confirmed -> SuccessorPromotion.inspectServers(reduction, group, change)
@@ -42,8 +42,8 @@
     }
 
     /**
-     * Adds the peers from a store read that was sent at [sentAt], if that was after the intent was recorded. A proxy
-     * that is not in that read acquires its lease later and then sees the intent.
+     * Adds the homes from a store read that was sent at [sentAt], if that was after the intent was recorded. A proxy
+     * whose record names the group only later uses the primary after a read that shows its record and the intent.
      */
     fun handleMembersRead(reduction: Reduction, sentAt: MonotonicTime) {
         for (group in reduction.state.groups.values) {
@@ -51,7 +51,7 @@
             val recordedAt = change?.recordedAt
             val awaitsMembers = change?.phase == ChangePhase.FENCING && !change.membersRead
             if (awaitsMembers && recordedAt != null && sentAt >= recordedAt) {
-                val added = PeerMonitoring.peers(reduction) - change.asked
+                val added = GroupHomes.otherEndpoints(reduction, group.name) - change.asked
                 val next = change.copy(membersRead = true, unfenced = change.unfenced + added, requestsSentAt = null)
                 reduction.put(group.copy(change = next))
             }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ConnectionCheckout.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ConnectionCheckout.kt
@@ -17,7 +17,7 @@
             is PendingStatement.Phase.Beginning -> phase.connection
             is PendingStatement.Phase.Sent -> phase.connection
             is PendingStatement.Phase.AwaitingRetry -> phase.connection
-            is PendingStatement.Phase.Waiting, null -> null
+            is PendingStatement.Phase.Waiting, is PendingStatement.Phase.Forwarded, null -> null
         }
 
     /** Sends statements and records their purposes, so that each answer can be matched to its statement. */
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ConnectionPools.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ConnectionPools.kt
@@ -4,6 +4,7 @@
 import dev.hibiscusreach.core.model.ServerName
 import dev.hibiscusreach.sessions.event.SessionCounter
 import dev.hibiscusreach.sessions.event.SessionEffect
+import dev.hibiscusreach.sessions.model.GroupName
 import dev.hibiscusreach.sessions.model.RegisteredServer
 import dev.hibiscusreach.sessions.state.ServerConnection
 import kotlinx.collections.immutable.persistentSetOf
@@ -20,14 +21,15 @@
             .orEmpty()
 
     /**
-     * Maximum number of connections of this proxy to [server]: an equal share, for each running proxy, of the usable
-     * percentage of the group's limit; at least 1, but 0 for a group without configuration.
+     * Maximum number of connections of this proxy to [server]: an equal share, for each home of the group, of the
+     * usable percentage of the group's limit; at least 1, but 0 for a group without configuration or of other homes.
      */
     fun maxConnections(reduction: Reduction, server: RegisteredServer): Int {
-        val rule = reduction.state.configuration?.groups?.get(server.group) ?: return 0
-        val proxies = reduction.state.fleet.members.size
+        val rule = reduction.state.configuration?.groups?.get(server.group)
+        if (rule == null || !GroupHomes.isHome(reduction, server.group)) return 0
+        val homes = GroupHomes.others(reduction, server.group).size + 1
         val fleetLimit = rule.connectionLimit * reduction.settings.connections.sharePercent / FULL_PERCENT
-        return maxOf(1, fleetLimit / maxOf(1, proxies))
+        return maxOf(1, fleetLimit / homes)
     }
 
     /** Opens a connection unless the pool is full or connects to the server are paused; returns whether it does. */
@@ -46,7 +48,8 @@
     /** Opens connections to the primary and to the nearest server of each group before callers need them. */
     fun warmUp(reduction: Reduction) {
         val servers = reduction.state.servers.values.map { it.server }.filter { !it.leaving }
-        for ((name, members) in servers.groupBy { it.group }) {
+        val served = servers.groupBy { it.group }.filterKeys { GroupHomes.isHome(reduction, it) }
+        for ((name, members) in served) {
             val primary = members.find { it.name == reduction.group(name).record?.primary }
             val nearest = members.minByOrNull { ServerSelection.cost(reduction, it).value }
             listOfNotNull(primary, nearest).distinct().forEach { server ->
@@ -65,6 +68,12 @@
         }
     }
 
+    /** Closes the connections to the servers of [group] that no session holds. */
+    fun closeAll(reduction: Reduction, group: GroupName) =
+        reduction.state.connections.values
+            .filter { it.group == group && it.heldBy == null }
+            .forEach { close(reduction, it) }
+
     /** Stores a connection and adds it to the pool of its server. */
     fun put(reduction: Reduction, connection: ServerConnection) {
         val state = reduction.state
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/FleetEvents.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/FleetEvents.kt
@@ -20,6 +20,9 @@
             is SessionEvent.FleetWritten -> recordWritten(reduction, event.key, event.outcome)
             is SessionEvent.PeerAsked -> peerAsked(reduction, event.number, event.request)
             is SessionEvent.PeerAnswered -> peerAnswered(reduction, event)
+            is SessionEvent.StatementForwarded -> ForwardedArrivals.arrived(reduction, event)
+            is SessionEvent.ForwardAnswered -> ForwardOutcomes.answered(reduction, event)
+            is SessionEvent.HomeLinkLost -> ForwardOutcomes.linkLost(reduction, event)
             is SessionEvent.ControlAnswered -> controlAnswered(reduction, event)
             is SessionEvent.PromotionAnswered -> PromoterLocking.handlePromotionOutcome(reduction, event)
             else -> Unit
@@ -57,12 +60,11 @@
         when (val request = event.request) {
             is PeerRequest.Fence -> ChangeFencing.handleFenceAnswer(reduction, event, request)
             is PeerRequest.Sighting -> PrimaryFailureDetection.sightingAnswered(reduction, event, request)
-            is PeerRequest.ReadFleet -> FleetReadRelay.readAnswered(reduction, event, request)
             PeerRequest.Ping -> {
                 PeerMonitoring.pingAnswered(reduction, event)
                 ChangeTakeover.handleChangerAnswer(reduction, event)
             }
-            is PeerRequest.Publish -> Unit
+            is PeerRequest.ReadFleet, is PeerRequest.Publish -> Unit
         }
     }
 
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupMonitoring.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupMonitoring.kt
@@ -15,14 +15,19 @@
 
 /** Checks each group periodically: its initial record, head position, fence and primary. */
 internal object GroupMonitoring {
-    /** Runs the checks of all groups that are configured or known. */
+    /** Runs the checks of all groups that are configured or known and of which this proxy is a home. */
     fun review(reduction: Reduction) {
+        HomeAssignment.review(reduction)
         val configured = reduction.state.configuration?.groups?.keys.orEmpty()
         if (reduction.state.ready) ConnectionPools.warmUp(reduction)
         ConnectionPools.evictIdle(reduction)
         for (name in configured + reduction.state.groups.keys) {
             val group = reduction.group(name)
-            if (group.record == null) discoverPrimary(reduction, group) else checkGroup(reduction, group)
+            when {
+                !GroupHomes.isHome(reduction, name) -> PrimaryFencing.settle(reduction, name)
+                group.record == null -> discoverPrimary(reduction, group)
+                else -> checkGroup(reduction, group)
+            }
         }
     }
 
@@ -96,16 +101,12 @@
     }
 }
 
-/** Ranks the proxies per group, so that usually only one of them acts for a group. */
+/** Ranks the homes of a group, so that usually only one of them acts for it. */
 internal object ProxyRanking {
-    /** The number of proxies that rank before this one for [group]; null if this proxy is not registered. */
+    /** The number of homes that rank before this one for [group]; null if this proxy is none or is leaving. */
     fun ownRank(reduction: Reduction, group: GroupName): Int? {
-        val nodes =
-            reduction.state.fleet
-                .members
-                .values
-                .map { it.identity.node }
-                .sortedBy { (it + group.value).hashCode() }
-        return nodes.indexOf(reduction.state.self.identity.node).takeIf { it >= 0 }
+        val own = GroupHomes.ownRecord(reduction)?.takeIf { it.isHomeOf(group) } ?: return null
+        val homes = (GroupHomes.others(reduction, group) + own).filter { !it.leaving }.map { it.identity.node }
+        return homes.sortedBy { (it + group.value).hashCode() }.indexOf(own.identity.node).takeIf { it >= 0 }
     }
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/LeaseRenewal.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/LeaseRenewal.kt
@@ -4,12 +4,12 @@
 import dev.hibiscusreach.core.model.MonotonicTime
 import dev.hibiscusreach.sessions.event.SessionEffect
 import dev.hibiscusreach.sessions.event.SessionEvent
-import dev.hibiscusreach.sessions.event.TimerSubject
 import dev.hibiscusreach.sessions.event.WriteOutcome
 import dev.hibiscusreach.sessions.model.FleetKey
 import dev.hibiscusreach.sessions.model.FleetRecord
 import dev.hibiscusreach.sessions.model.GroupName
 import dev.hibiscusreach.sessions.model.StoredRecord
+import dev.hibiscusreach.sessions.state.FleetRecords
 
 /**
  * Keeps this proxy registered in the store and renews its lease on the group records. The lease starts at the time at
@@ -17,13 +17,10 @@
  * proxy confirms the fence or its lease expires.
  */
 internal object LeaseRenewal {
-    /** Restarts the renewal timer and reads the fleet records. */
-    fun renew(reduction: Reduction) {
-        reduction.emit(SessionEffect.StartTimer(TimerSubject.LEASE, reduction.settings.leases.renewalPeriod))
-        read(reduction)
-    }
-
-    /** Reads the fleet records. If a read is already in flight, it may miss later writes, so another one follows it. */
+    /**
+     * Reads the fleet records from the store itself. If a read is already in flight, it may miss later writes, so
+     * another one follows it.
+     */
     fun read(reduction: Reduction) {
         val fleet = reduction.state.fleet
         if (fleet.reading) {
@@ -34,18 +31,13 @@
         }
     }
 
-    /**
-     * Handles a failed read: waiting peers are refused, the records are requested through a peer, and the read is
-     * retried after a pause, which is doubled if the previous read failed too.
-     */
+    /** Handles a failed read: waiting peers are refused, and another source of reads is selected. */
     fun readFailed(reduction: Reduction, event: SessionEvent.FleetReadFailed) {
         val fleet = reduction.state.fleet
         if (!fleet.storeLost) reduction.log("store lost", "reason" to event.reason, level = LogLevel.WARN)
         reduction.state = reduction.state.copy(fleet = fleet.copy(reading = false, readAgain = false, storeLost = true))
         FleetReadRelay.refuseWaiting(reduction)
-        FleetReadRelay.requestRead(reduction)
-        val retry = reduction.settings.leases.retryPause
-        reduction.emit(SessionEffect.StartTimer(TimerSubject.LEASE, if (fleet.storeLost) retry * 2 else retry))
+        StoreSources.readFailed(reduction)
     }
 
     /** Handles a completed read: renews the lease if this proxy is registered, or else registers it. */
@@ -60,9 +52,10 @@
             reduction.state.copy(
                 fleet =
                 fleet.copy(
-                    records = event.records,
-                    leaseFrom = if (registered) event.sentAt else fleet.leaseFrom,
+                    records = FleetRecords(event.records),
+                    leaseFrom = if (registered) latest(event.sentAt, fleet.leaseFrom) else fleet.leaseFrom,
                     readAt = reduction.now,
+                    readSentAt = latest(event.sentAt, fleet.readSentAt),
                     registered = registered,
                     reading = false,
                     readAgain = false,
@@ -73,8 +66,10 @@
             )
         if (!registered && reduction.state.stoppingSince == null) register(reduction, own)
         adopt(reduction, event.records)
+        HomeAssignment.review(reduction)
         ChangeFencing.handleMembersRead(reduction, event.sentAt)
         FleetReadRelay.answerWaiting(reduction, event.sentAt)
+        StoreSources.readSucceeded(reduction)
         if (fleet.readAgain) read(reduction)
     }
 
@@ -84,12 +79,16 @@
             val fleet = reduction.state.fleet
             val record = fleet.records[key]?.record ?: FleetRecord.Promoter(holder = null)
             val records = fleet.records + (key to StoredRecord(record, outcome.revision))
-            reduction.state = reduction.state.copy(fleet = fleet.copy(records = records))
+            reduction.state = reduction.state.copy(fleet = fleet.copy(records = FleetRecords(records)))
         } else {
+            HomeAssignment.recordWritten(reduction)
             read(reduction)
         }
     }
 
+    // A read through a peer may be older than the latest direct one.
+    private fun latest(sentAt: MonotonicTime, known: MonotonicTime?) = maxOf(sentAt, known ?: sentAt)
+
     private fun expulsionTimes(
         reduction: Reduction,
         records: Map<FleetKey, StoredRecord>,
@@ -105,10 +104,8 @@
     }
 
     private fun register(reduction: Reduction, existing: StoredRecord?) {
-        val self = reduction.state.self
-        val record = FleetRecord.Proxy(self.identity, self.peerEndpoint)
-        val key = FleetKey.proxy(self.identity.node)
-        reduction.emit(SessionEffect.WriteFleet(key, record, existing?.revision))
+        val key = FleetKey.proxy(reduction.state.self.identity.node)
+        reduction.emit(SessionEffect.WriteFleet(key, HomeAssignment.initialRecord(reduction), existing?.revision))
     }
 
     /** Adopts all group records in [records] that are newer than the known ones. */
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PeerMonitoring.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PeerMonitoring.kt
@@ -5,6 +5,8 @@
 import dev.hibiscusreach.sessions.event.PeerOutcome
 import dev.hibiscusreach.sessions.event.SessionEffect
 import dev.hibiscusreach.sessions.event.SessionEvent
+import dev.hibiscusreach.sessions.model.FleetRecord
+import dev.hibiscusreach.sessions.model.GroupName
 import dev.hibiscusreach.sessions.model.PeerRequest
 import dev.hibiscusreach.sessions.state.PeerView
 
@@ -15,7 +17,7 @@
         val fleet = reduction.state.fleet
         val due = fleet.pingedAt?.let { reduction.now - it >= reduction.settings.leases.pingPeriod } ?: true
         if (!due || !fleet.registered || reduction.state.stoppingSince != null) return
-        val peers = peers(reduction).sorted()
+        val peers = pinged(reduction)
         reduction.state =
             reduction.state.copy(fleet = fleet.copy(pingedAt = reduction.now, nextPing = fleet.nextPing + 1))
         peers.getOrNull(fleet.nextPing % maxOf(1, peers.size))?.let { ping(reduction, it) }
@@ -46,9 +48,24 @@
             .map { it.peerEndpoint }
             .toSet()
 
-    /** The time until the leases of all expelled proxies have expired; zero if none is left. */
-    fun expulsionWait(reduction: Reduction): Millis {
-        val expiries = reduction.state.fleet.expelledSince.values.map { it + reduction.settings.leases.duration }
+    /**
+     * The peers that this proxy pings, nearest first: its successors when all proxies are ordered in a ring. Each proxy
+     * is pinged by as many others.
+     */
+    fun pinged(reduction: Reduction): List<Endpoint> {
+        val self = reduction.state.self.peerEndpoint
+        val (before, after) = peers(reduction).sorted().partition { it < self }
+        return (after + before).take(reduction.settings.leases.pingedPeers)
+    }
+
+    /** The time until the leases of all expelled homes of [group] have expired; zero if none is left. */
+    fun expulsionWait(reduction: Reduction, group: GroupName): Millis {
+        val fleet = reduction.state.fleet
+        val expiries =
+            fleet.expelledSince
+                .filterKeys { (fleet.records[it]?.record as? FleetRecord.Proxy)?.isHomeOf(group) ?: true }
+                .values
+                .map { it + reduction.settings.leases.duration }
         return expiries.maxOrNull()?.let { maxOf(Millis(0), it - reduction.now) } ?: Millis(0)
     }
 
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryChanges.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryChanges.kt
@@ -99,7 +99,7 @@
         GroupRecordAdoption.adopt(reduction, group.name, record, revision)
         reduction.count(SessionCounter.PRIMARY_CHANGES, "completed")
         val request = PeerRequest.Publish(record, revision)
-        PeerMonitoring.peers(reduction).forEach { reduction.emit(SessionEffect.AskPeer(it, request)) }
+        GroupHomes.otherEndpoints(reduction, group.name).forEach { reduction.emit(SessionEffect.AskPeer(it, request)) }
         reduction.put(
             reduction.group(group.name).copy(changeAfter = reduction.now + reduction.settings.changes.retryPause),
         )
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryFailureDetection.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryFailureDetection.kt
@@ -42,6 +42,7 @@
     private fun mayReplacePrimary(reduction: Reduction, group: GroupView): Boolean {
         val pauseOver = group.changeAfter?.let { reduction.now >= it } ?: true
         return pauseOver &&
+            reduction.state.serversKnown &&
             PrimaryStatus.leaseIsValid(reduction) &&
             !reduction.state.fleet.storeLost &&
             reduction.state.stoppingSince == null
@@ -92,7 +93,7 @@
         suspicion: Suspicion,
         record: FleetRecord.Group,
     ) {
-        val peers = PeerMonitoring.peers(reduction)
+        val peers = GroupHomes.otherEndpoints(reduction, group.name)
         reduction.log(
             "primary suspected",
             "group" to group.name,
@@ -110,7 +111,7 @@
     }
 
     // Proxies that do not answer may still reach the primary and use it until their leases expire. The primary is
-    // replaced earlier only if a majority of the running proxies is known not to reach it.
+    // replaced earlier only if a majority of the running homes is known not to reach it.
     private fun decide(reduction: Reduction, group: GroupView, suspicion: Suspicion) {
         val outcomes = suspicion.reports.values
         val answers = outcomes.mapNotNull { (it as? PeerOutcome.Answered)?.answer as? PeerAnswer.Seen }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryFencing.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryFencing.kt
@@ -87,7 +87,7 @@
         val running = session.running ?: return
         if (running.begun.readOnly) return
         if (session.pending == null) {
-            StatementDeadlines.endTransaction(reduction, session, running, "the primary is being replaced")
+            StatementDeadlines.endTransaction(reduction, session, "the primary is being replaced")
         }
     }
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryStatus.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryStatus.kt
@@ -19,11 +19,15 @@
     /** Limits the memory that a group needs. Older samples would only allow more replicas to serve a read. */
     private const val MAX_HEAD_SAMPLES = 64
 
-    /** The primary if it may be used now: no change is in progress, it is not fenced, and the lease is valid. */
+    /**
+     * The primary if it may be used now: this proxy is a home of the group, no change is in progress, the primary is
+     * not fenced, and the lease is valid.
+     */
     fun usablePrimary(reduction: Reduction, group: GroupView, margin: Millis = Millis(NO_MARGIN)): ServerName? {
         val record = group.record ?: return null
         val fenced = record.changedBy != null || (group.fence?.epoch ?: 0) > record.epoch
-        return record.primary.takeIf { !fenced && leaseIsValid(reduction, margin) && it in reduction.state.servers }
+        val allowed = !fenced && leaseIsValid(reduction, margin) && GroupHomes.isHome(reduction, group.name)
+        return record.primary.takeIf { allowed && it in reduction.state.servers }
     }
 
     /** Whether this proxy's lease is valid, so that no primary change can have completed without its confirmation. */
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ProxyExpulsion.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ProxyExpulsion.kt
@@ -26,29 +26,27 @@
         }
     }
 
-    // A proxy that cannot reach a majority of the proxies may itself be isolated, so it waits for a full lease duration
-    // before it expels others.
+    // A proxy that cannot reach a majority of the peers that it pings may itself be isolated, so it waits for a full
+    // lease duration before it expels others.
     private fun expelUnresponsive(reduction: Reduction) {
         val fleet = reduction.state.fleet
-        val others = fleet.members.filterValues { it.identity.node != reduction.state.self.identity.node }
-        val responsive = others.values.count { isResponsive(fleet.peers[it.peerEndpoint]) }
-        val reachesMajority = (responsive + 1) * 2 > others.size + 1
+        val pinged = PeerMonitoring.pinged(reduction)
+        val responsive = pinged.count { isResponsive(fleet.peers[it]) }
+        val reachesMajority = (responsive + 1) * 2 > pinged.size + 1
         if (fleet.storeLost || !PrimaryStatus.leaseIsValid(reduction)) return
-        others
-            .values
-            .map { it.peerEndpoint }
-            .filter { isUnresponsive(reduction, it, reachesMajority) }
+        pinged
+            .filterIndexed { rank, peer -> isUnresponsive(reduction, peer, rank, reachesMajority) }
             .let { expel(reduction, it.toSet()) }
     }
 
     private fun isResponsive(view: PeerView?) = view?.answeredAt != null && view.misses == 0
 
-    private fun isUnresponsive(reduction: Reduction, peer: Endpoint, reachesMajority: Boolean): Boolean {
+    private fun isUnresponsive(reduction: Reduction, peer: Endpoint, rank: Int, reachesMajority: Boolean): Boolean {
         val view = reduction.state.fleet.peers[peer]
         val since = view?.missingSince ?: return false
         val limits = reduction.settings.leases
         val timeout = if (reachesMajority) limits.expulsionTimeout else limits.duration
-        return view.misses >= limits.missedPings && reduction.now - since >= timeout
+        return view.misses >= limits.missedPings && reduction.now - since >= timeout + limits.expulsionRankDelay * rank
     }
 
     private fun deleteExpired(reduction: Reduction) {
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Reduction.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/Reduction.kt
@@ -11,7 +11,6 @@
 import dev.hibiscusreach.sessions.state.ServerHealth
 import dev.hibiscusreach.sessions.state.Session
 import dev.hibiscusreach.sessions.state.SessionProxyState
-import dev.hibiscusreach.sessions.state.Transaction
 import kotlinx.collections.immutable.mutate
 
 /** Mutable context for reducing one event: the current state and the effects emitted so far. */
@@ -41,7 +40,7 @@
 
     /** Stores a session and marks it active while it has a pending statement or a running transaction. */
     fun put(session: Session) {
-        val isActive = session.pending != null || session.transaction is Transaction.Running
+        val isActive = session.pending != null || session.running != null || session.remote != null
         val active = if (isActive) state.active.add(session.number) else state.active.remove(session.number)
         state = state.copy(sessions = state.sessions.put(session.number, session), active = active)
     }
@@ -70,3 +69,9 @@
         state = state.copy(waiting = queues)
     }
 }
+
+/** Forgets a session that has ended. */
+internal fun Reduction.remove(session: Session) {
+    val sessions = state.sessions.remove(session.number)
+    state = state.copy(sessions = sessions, active = state.active.remove(session.number))
+}
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionDraining.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionDraining.kt
@@ -34,24 +34,23 @@
         reduction.emit(SessionEffect.StopListening)
     }
 
-    private fun closeIdleSessions(reduction: Reduction) =
-        reduction.state.sessions.values
-            .filter { it.pending == null && it.transaction is Transaction.None }
-            .forEach { close(reduction, it) }
+    private fun closeIdleSessions(reduction: Reduction) {
+        val idle = reduction.state.sessions.values.filter { it.pending == null }
+        idle.filter { it.transaction is Transaction.None }.forEach { close(reduction, it) }
+        // The peer hears of the end of its transaction with its next statement.
+        idle.filter { it.isForwarded && it.transaction is Transaction.Aborted }.forEach { reduction.remove(it) }
+    }
 
     private fun endTransactions(reduction: Reduction) =
         reduction.state.active
             .mapNotNull { reduction.session(it) }
             .filter { it.pending == null }
             .forEach { session ->
-                val running = session.running
-                if (running != null) {
-                    StatementDeadlines.endTransaction(reduction, session, running, "the proxy is stopping")
-                }
+                StatementDeadlines.endTransaction(reduction, session, "the proxy is stopping")
             }
 
     private fun close(reduction: Reduction, session: Session) {
-        reduction.state = reduction.state.copy(sessions = reduction.state.sessions.remove(session.number))
+        reduction.remove(session)
         reduction.emit(SessionEffect.CloseSession(session.number))
     }
 
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionLifecycle.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionLifecycle.kt
@@ -64,9 +64,8 @@
         reduction.state = reduction.state.copy(arriving = arriving)
         val session = reduction.session(event.session) ?: return
         session.pending?.let { reduction.dequeue(it.route.group, session.number) }
-        val state = reduction.state
-        reduction.state =
-            state.copy(sessions = state.sessions.remove(session.number), active = state.active.remove(session.number))
+        reduction.remove(session)
+        StatementForwarding.end(reduction, session)
         val running = session.running
         val held = running?.connection ?: ConnectionCheckout.connectionOf(session.pending)
         // The connection of an outstanding statement is not reused before the answer, which shows what to roll back.
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionReplies.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionReplies.kt
@@ -5,7 +5,9 @@
 import dev.hibiscusreach.core.model.RetryAdvice
 import dev.hibiscusreach.sessions.event.SessionCounter
 import dev.hibiscusreach.sessions.event.SessionEffect
+import dev.hibiscusreach.sessions.model.ForwardedAnswer
 import dev.hibiscusreach.sessions.model.SessionReply
+import dev.hibiscusreach.sessions.model.TransactionStatus
 import dev.hibiscusreach.sessions.state.PendingStatement
 import dev.hibiscusreach.sessions.state.Session
 
@@ -23,7 +25,7 @@
             )
         }
         reduction.count(SessionCounter.STATEMENTS, outcome(reply))
-        reduction.emit(SessionEffect.Reply(session.number, reply))
+        emitReply(reduction, session, reply)
     }
 
     /** Answers the pending statement of [session]; [session] is already in its state after the answer. */
@@ -33,7 +35,7 @@
         logPending(reduction, session, pending, reply)
         reduction.count(SessionCounter.STATEMENTS, outcome(reply))
         reduction.emit(SessionEffect.Observe(outcome(reply), duration))
-        reduction.emit(SessionEffect.Reply(session.number, reply))
+        emitReply(reduction, session, reply)
     }
 
     /** A refusal with the retry delay that fits [kind]. */
@@ -47,6 +49,17 @@
         return SessionReply.Refused(kind, message, session.transaction.status, retry)
     }
 
+    // A forwarded session is only kept between the statements of a transaction.
+    private fun emitReply(reduction: Reduction, session: Session, reply: SessionReply) {
+        if (session.isForwarded) {
+            val answer = ForwardedAnswer.Replied(reply, session.lastCommit?.position)
+            reduction.emit(SessionEffect.AnswerForwarded(session.number, answer))
+            if (reply.status != TransactionStatus.OPEN) reduction.remove(session)
+        } else {
+            reduction.emit(SessionEffect.Reply(session.number, reply))
+        }
+    }
+
     private fun logPending(reduction: Reduction, session: Session, pending: PendingStatement, reply: SessionReply) {
         val group = reduction.group(pending.route.group)
         val connection = ConnectionCheckout.connectionOf(pending)?.let { reduction.state.connections[it] }
@@ -59,6 +72,8 @@
             "outcome" to outcome(reply),
             "reason" to (reply as? SessionReply.Refused)?.message,
             "server" to connection?.server,
+            "home" to (pending.phase as? PendingStatement.Phase.Forwarded)?.home,
+            "forwarded" to session.isForwarded.takeIf { it },
             "attempts" to pending.attempts,
             "millis" to (reduction.now - pending.arrivedAt).value,
             "configurationVersion" to reduction.state.configuration?.version,
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/StatementArrivals.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/StatementArrivals.kt
@@ -137,6 +137,7 @@
             completed(TransactionStatus.NONE),
         )
         if (running != null) ConnectionCheckout.rollback(reduction, running.connection)
+        session.remote?.let { StatementForwarding.rollback(reduction, session, it) }
     }
 
     private fun forward(reduction: Reduction, session: Session, event: SessionEvent.StatementArrived, access: Access) {
@@ -144,14 +145,16 @@
             when (val transaction = session.transaction) {
                 is Transaction.Begun -> transaction.route
                 is Transaction.Running -> transaction.begun.route
-                else -> reduction.state.configuration?.routes?.get(session.database)
+                is Transaction.Remote -> transaction.begun.route
+                else -> session.forwardedRoute ?: reduction.state.configuration?.routes?.get(session.database)
             }
         if (route == null) {
             val status = session.transaction.status
             val reason = "no such database"
             answerLocally(reduction, session, event, refused(ErrorKind.UNKNOWN_DATABASE, reason, status))
         } else {
-            val pending = PendingStatement(event.identifier, event.statement, access, route, reduction.now)
+            val arrivedAt = reduction.now - event.waited
+            val pending = PendingStatement(event.identifier, event.statement, access, route, arrivedAt)
             val waiting = session.copy(pending = pending)
             reduction.put(waiting)
             StatementDispatch.start(reduction, waiting, pending)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/StatementDeadlines.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/StatementDeadlines.kt
@@ -24,8 +24,9 @@
     }
 
     /** Ends a running transaction between two statements. The caller gets [message] at its next statement. */
-    fun endTransaction(reduction: Reduction, session: Session, running: Transaction.Running, message: String) {
-        ConnectionCheckout.rollback(reduction, running.connection)
+    fun endTransaction(reduction: Reduction, session: Session, message: String) {
+        session.running?.let { ConnectionCheckout.rollback(reduction, it.connection) }
+        session.remote?.let { StatementForwarding.rollback(reduction, session, it) }
         reduction.log("transaction ended", "session" to session.number.value, "reason" to message)
         reduction.put(session.copy(transaction = Transaction.Aborted(ErrorKind.TRANSACTION_ENDED, message)))
     }
@@ -34,7 +35,7 @@
         val running = session.running ?: return
         val limit = reduction.state.configuration?.transactionIdleLimit ?: return
         if (reduction.now - running.usedAt > limit) {
-            endTransaction(reduction, session, running, "the transaction was idle for too long")
+            endTransaction(reduction, session, "the transaction was idle for too long")
         }
     }
 
@@ -43,6 +44,7 @@
             is Phase.Waiting -> checkWaiting(reduction, session, pending)
             is Phase.Beginning -> checkSent(reduction, session, pending)
             is Phase.Sent -> checkSent(reduction, session, pending)
+            is Phase.Forwarded -> StatementForwarding.checkTimeout(reduction, session, pending, phase)
             is Phase.AwaitingRetry -> {
                 val running = session.running
                 if (running != null && reduction.now >= phase.at) {
@@ -85,20 +87,26 @@
     }
 
     private fun expire(reduction: Reduction, session: Session, pending: PendingStatement, server: ServerName) {
-        val running = session.running
-        val commits = pending.commits
-        val writes = if (commits) running?.wrote ?: false else running == null && pending.access == Access.WRITE
-        val began = pending.phase !is Phase.Beginning
-        val kind = if (writes && began) ErrorKind.OUTCOME_UNKNOWN else ErrorKind.DEADLINE_EXCEEDED
-        reduction.log("statement timed out", "request" to pending.identifier, "server" to server)
         ConnectionCheckout
             .connectionOf(pending)
             ?.let { reduction.state.connections[it] }
             ?.let { ConnectionPools.close(reduction, it) }
+        answerExpired(reduction, session, pending, "server $server did not answer in time")
+    }
+
+    /** Answers a statement whose time limit has passed after it was sent; a write may have run. */
+    fun answerExpired(reduction: Reduction, session: Session, pending: PendingStatement, message: String) {
+        val commits = pending.commits
+        val holdsTransaction = session.running != null || session.remote != null
+        val wrote = session.running?.wrote ?: session.remote?.wrote ?: false
+        val writes = if (commits) wrote else !holdsTransaction && pending.access == Access.WRITE
+        val began = pending.phase !is Phase.Beginning
+        val kind = if (writes && began) ErrorKind.OUTCOME_UNKNOWN else ErrorKind.DEADLINE_EXCEEDED
+        reduction.log("statement timed out", "request" to pending.identifier, "reason" to message)
         val inTransaction = session.transaction !is Transaction.None
         val ended = if (inTransaction && !commits) Transaction.Failed else Transaction.None
         val next = session.copy(transaction = ended)
-        val reply = SessionReplies.refusal(reduction, next, kind, "server $server did not answer in time")
+        val reply = SessionReplies.refusal(reduction, next, kind, message)
         SessionReplies.answerPending(reduction, next, pending, reply)
     }
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/StatementDispatch.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/StatementDispatch.kt
@@ -17,8 +17,10 @@
     /** Sends a statement that has just arrived on the connection of its transaction or on an idle one, or queues it. */
     fun start(reduction: Reduction, session: Session, pending: PendingStatement) {
         val running = session.running
+        val remote = session.remote
         when {
             running != null -> StatementSending.sendInTransaction(reduction, session, pending, running)
+            remote != null -> StatementForwarding.sendInTransaction(reduction, session, pending, remote)
             !assign(reduction, session, pending) -> enqueue(reduction, session, pending)
         }
     }
@@ -52,7 +54,14 @@
         return deadline + pending.route.priority * PRIORITY_STEP_MILLIS
     }
 
-    private fun assign(reduction: Reduction, session: Session, pending: PendingStatement): Boolean {
+    private fun assign(reduction: Reduction, session: Session, pending: PendingStatement): Boolean =
+        if (StatementForwarding.isNeeded(reduction, session, pending)) {
+            StatementForwarding.assign(reduction, session, pending)
+        } else {
+            assignConnection(reduction, session, pending)
+        }
+
+    private fun assignConnection(reduction: Reduction, session: Session, pending: PendingStatement): Boolean {
         val notBefore = (pending.phase as? Phase.Waiting)?.notBefore
         val isPaused = notBefore != null && reduction.now < notBefore
         val candidates = if (isPaused) emptyList() else ServerSelection.candidates(reduction, session, pending)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/Session.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/Session.kt
@@ -3,6 +3,7 @@
 import dev.hibiscusreach.core.event.ConnectionNumber
 import dev.hibiscusreach.core.model.Access
 import dev.hibiscusreach.core.model.DatabaseName
+import dev.hibiscusreach.core.model.Endpoint
 import dev.hibiscusreach.core.model.ErrorKind
 import dev.hibiscusreach.core.model.MonotonicTime
 import dev.hibiscusreach.core.model.Position
@@ -26,9 +27,17 @@
     val lastCommit: CommitPosition? = null,
     val transaction: Transaction = Transaction.None,
     val pending: PendingStatement? = null,
+    /** The route by which a peer accepted the statement that it forwarded; null for a session of a caller. */
+    val forwardedRoute: Route? = null,
 ) {
     /** The open transaction, if it holds a server connection. */
     val running: Transaction.Running? get() = transaction as? Transaction.Running
+
+    /** The open transaction, if a home holds it. */
+    val remote: Transaction.Remote? get() = transaction as? Transaction.Remote
+
+    /** Whether a peer forwards the statements of this session. */
+    val isForwarded: Boolean get() = forwardedRoute != null
 }
 
 /** Position of a commit in the log of [group]. */
@@ -49,6 +58,11 @@
         override val status: TransactionStatus get() = TransactionStatus.OPEN
     }
 
+    /** A home holds the transaction. */
+    data class Remote(val begun: Begun, val home: Endpoint, val wrote: Boolean) : Transaction {
+        override val status: TransactionStatus get() = TransactionStatus.OPEN
+    }
+
     /** The transaction holds a server connection. */
     data class Running(
         val begun: Begun,
@@ -81,6 +95,8 @@
     val attempts: Int = 0,
     /** Servers that could not serve the statement. */
     val excluded: Set<ServerName> = emptySet(),
+    /** Homes that could not serve the statement. */
+    val excludedHomes: Set<Endpoint> = emptySet(),
 ) {
     /** Whether the statement commits its transaction. */
     val commits: Boolean get() = statement is CallerStatement.Commit
@@ -104,6 +120,9 @@
             val epoch: Long,
         ) : Phase
 
+        /** The statement was forwarded to a home. */
+        data class Forwarded(val home: Endpoint) : Phase
+
         /** The server of the open transaction was overloaded; the statement goes to it again at [at]. */
         data class AwaitingRetry(val connection: ConnectionNumber, val at: MonotonicTime) : Phase
     }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
@@ -12,7 +12,6 @@
 import dev.hibiscusreach.sessions.model.GroupName
 import dev.hibiscusreach.sessions.model.RegisteredServer
 import dev.hibiscusreach.sessions.model.RoutingConfiguration
-import dev.hibiscusreach.sessions.model.StoredRecord
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
@@ -62,10 +61,13 @@
 
 /** The fleet's records as last read. */
 data class FleetView(
-    val records: Map<FleetKey, StoredRecord> = emptyMap(),
+    val records: FleetRecords = FleetRecords(emptyMap()),
     /** When the latest read that showed this proxy's own record was sent. */
     val leaseFrom: MonotonicTime? = null,
     val readAt: MonotonicTime? = null,
+    /** When the latest read was sent. */
+    val readSentAt: MonotonicTime? = null,
+    val source: StoreSource = StoreSource(),
     val registered: Boolean = false,
     val reading: Boolean = false,
     /** Whether another read is wanted after the one in flight. */
@@ -81,15 +83,35 @@
     val peers: Map<Endpoint, PeerView> = emptyMap(),
     val pingedAt: MonotonicTime? = null,
     val nextPing: Int = 0,
+    /** When statements could last not be forwarded to a home, by its peer endpoint. */
+    val unreachableHomes: PersistentMap<Endpoint, MonotonicTime> = persistentMapOf(),
+    val roles: HomeRoles = HomeRoles(),
 ) {
-    /** The proxies that are not expelled, by key. Cached, because every check of a connection limit needs them. */
-    val members: Map<FleetKey, FleetRecord.Proxy> by lazy {
-        records
-            .mapNotNull { (key, stored) -> (stored.record as? FleetRecord.Proxy)?.let { key to it } }
-            .filter { !it.second.expelled }
-            .toMap()
-    }
+    /** The proxies that are not expelled, by key. */
+    val members: Map<FleetKey, FleetRecord.Proxy> get() = records.members
 }
 
+/** Where the store's objects are read. */
+data class StoreSource(
+    /** The peer through which they are read; null for the store itself. */
+    val peer: Endpoint? = null,
+    /** When the source was selected; null before the first read. */
+    val since: MonotonicTime? = null,
+    /** Sources that have failed one after another. */
+    val failures: Int = 0,
+)
+
+/** The groups that this proxy serves as a home, beside those that its own record names. */
+data class HomeRoles(
+    /** When this proxy stopped ranking among the homes of a group that its record names. */
+    val surplusSince: Map<GroupName, MonotonicTime> = emptyMap(),
+    /** Groups whose servers this proxy uses no longer; they are removed from its record next. */
+    val retired: Set<GroupName> = emptySet(),
+    /** Revision of the proxy's own record when [retired] was last updated. */
+    val retiredRevision: Long? = null,
+    /** When the proxy's own record was last written; null if the write has ended. */
+    val writtenAt: MonotonicTime? = null,
+)
+
 /** Ping results of one peer. */
 data class PeerView(val answeredAt: MonotonicTime?, val misses: Int = 0, val missingSince: MonotonicTime? = null)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
@@ -22,6 +22,7 @@
     val connections: ConnectionSettings = ConnectionSettings(),
     val leases: LeaseSettings = LeaseSettings(),
     val changes: PrimaryChangeSettings = PrimaryChangeSettings(),
+    val homes: HomeSettings = HomeSettings(),
     val drain: DrainSettings = DrainSettings(),
 )
 
@@ -74,12 +75,18 @@
 data class LeaseSettings(
     /** Validity of the lease after a read of the fleet records; longer than the usual outages of the store. */
     val duration: Millis = 10.seconds,
-    /** Period of the reads that renew the lease. */
-    val renewalPeriod: Millis = 2500.milliseconds,
-    /** Pause before a failed read is repeated. */
-    val retryPause: Millis = 500.milliseconds,
+    /** Age of the latest read above which another source is tried; well below [duration]. */
+    val staleReadTimeout: Millis = 5.seconds,
+    /** Time for which a newly selected source is tried before the next one. */
+    val sourceTrial: Millis = 300.milliseconds,
+    /** Time after which a proxy returns to its preferred source of reads. */
+    val sourceReturnDelay: Millis = 3.seconds,
     /** Period of the pings, which go to one peer at a time. */
     val pingPeriod: Millis = 1000.milliseconds,
+    /** Number of peers that a proxy pings, so that the cost and the time to detect do not grow with the fleet. */
+    val pingedPeers: Int = 8,
+    /** Delay before each further proxy that pings an unresponsive peer expels it, so that usually only one does. */
+    val expulsionRankDelay: Millis = 500.milliseconds,
     /** A peer is expelled after missing pings for this long; longer than brief pauses of a process. */
     val expulsionTimeout: Millis = 3.seconds,
     /** Consecutive pings that a peer misses before it is expelled. */
@@ -88,6 +95,22 @@
     val writeMargin: Millis = 500.milliseconds,
 )
 
+/** The homes of groups, which hold the connections to servers on behalf of the other proxies. */
+data class HomeSettings(
+    /** Homes of each group in each failure domain; a second one serves at once when the first one fails. */
+    val homesPerDomain: Int = 2,
+    /** A home that no longer ranks among the first keeps serving for this long, until the others know its successor. */
+    val retirementDelay: Millis = 3.seconds,
+    /** A home that failed or refused a statement is avoided for this long. */
+    val avoidance: Millis = 500.milliseconds,
+    /** Pause before a statement that no home serves is offered to the homes again. */
+    val retryPause: Millis = 50.milliseconds,
+    /** Time beyond the statement timeout that a home's answer may take; covers the way between regions. */
+    val answerMargin: Millis = 200.milliseconds,
+    /** Time after which an unanswered write of the own record is repeated. */
+    val recordTimeout: Millis = 2.seconds,
+)
+
 /** Limits on changes of primaries. */
 data class PrimaryChangeSettings(
     /** Period of the checks of groups. */
