Complete and take over changes of primary whatever the role of the proxy that began them

A proxy now looks after its change whatever its role, and another one takes over a change that lasts longer than 25 s. Peers are expelled after 6 s instead of 3 s without an answer: the partition of 7 s caused 110 expulsions of proxies that ran. The timer of requests runs only while there are requests, and roles are reviewed only when something changed.

Both tests of HomeAssignmentTest fail without the change.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/SessionReducer.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/SessionReducer.kt
@@ -28,6 +28,7 @@
     fun reduce(state: SessionProxyState, timed: TimedSessionEvent): SessionTransition {
         val reduction = Reduction(state, timed.now)
         handle(reduction, timed.event)
+        startRequestTimer(reduction)
         return SessionTransition(reduction.state, reduction.effects)
     }
 
@@ -55,7 +56,7 @@
     private fun fire(reduction: Reduction, subject: TimerSubject) =
         when (subject) {
             TimerSubject.REQUESTS -> {
-                startTimer(reduction, subject, reduction.settings.statements.checkPeriod)
+                reduction.state = reduction.state.copy(requestTimerRuns = false)
                 StatementDeadlines.enforce(reduction)
                 SessionDraining.review(reduction)
             }
@@ -68,6 +69,16 @@
             }
         }
 
+    // Runs only while there are requests, because an idle proxy should not use processor time.
+    private fun startRequestTimer(reduction: Reduction) {
+        val state = reduction.state
+        val isDraining = state.stoppingSince != null && !state.exited
+        val isNeeded = state.active.isNotEmpty() || state.arriving.isNotEmpty() || isDraining
+        if (!isNeeded || state.requestTimerRuns) return
+        reduction.state = state.copy(requestTimerRuns = true)
+        startTimer(reduction, TimerSubject.REQUESTS, reduction.settings.statements.checkPeriod)
+    }
+
     private fun startTimer(reduction: Reduction, subject: TimerSubject, delay: Millis) =
         reduction.emit(SessionEffect.StartTimer(subject, delay))
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangeTakeover.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangeTakeover.kt
@@ -23,9 +23,10 @@
         val seenAt = group.changerSeenAt?.takeIf { changer != null && it > adoptedAt } ?: adoptedAt
         val askedAt = group.changerAskedAt?.takeIf { it > adoptedAt } ?: adoptedAt
         val timeout = if (changer == null) Millis(0) else changes.takeoverTimeout
+        val isLate = reduction.now - adoptedAt > changes.changeTimeout + changes.rankDelay * rank
         when {
             reduction.state.fleet.storeLost || reduction.state.stoppingSince != null -> Unit
-            reduction.now - seenAt > timeout + changes.rankDelay * rank ->
+            isLate || reduction.now - seenAt > timeout + changes.rankDelay * rank ->
                 PrimaryChanges.begin(reduction, group.name, ChangeReason.ABANDONED)
             reduction.now - askedAt > changes.takeoverCheckDelay -> {
                 reduction.put(group.copy(changerAskedAt = reduction.now))
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupMonitoring.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupMonitoring.kt
@@ -24,7 +24,7 @@
         for (name in configured + reduction.state.groups.keys) {
             val group = reduction.group(name)
             when {
-                !GroupHomes.isHome(reduction, name) -> PrimaryFencing.settle(reduction, name)
+                !GroupHomes.isHome(reduction, name) -> checkAsOther(reduction, group)
                 group.record == null -> discoverPrimary(reduction, group)
                 else -> checkGroup(reduction, group)
             }
@@ -74,6 +74,13 @@
         reduction.emit(SessionEffect.SendControl(primary, ControlRequest.Status))
     }
 
+    // A proxy that stopped being a home still confirms fences and completes the change of primary that it began.
+    private fun checkAsOther(reduction: Reduction, group: GroupView) {
+        PrimaryFencing.settle(reduction, group.name)
+        val changesPrimary = group.record?.changedBy == reduction.state.self.identity
+        if (changesPrimary) PrimaryChanges.advance(reduction, group.name)
+    }
+
     private fun checkGroup(reduction: Reduction, group: GroupView) {
         probe(reduction, group)
         PrimaryFencing.settle(reduction, group.name)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/HomeAssignment.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/HomeAssignment.kt
@@ -16,7 +16,7 @@
 
     /** Retires from groups of which other proxies are homes now, and writes the own record if it has to change. */
     fun review(reduction: Reduction) {
-        val own = GroupHomes.ownRecord(reduction) ?: return
+        val own = GroupHomes.ownRecord(reduction)?.takeIf { needsReview(reduction, it) } ?: return
         val assigned = assigned(reduction)
         val surplus = if (assigned == null) emptyList() else surplus(reduction, own, assigned)
         HomeRetirement.review(reduction, surplus)
@@ -29,11 +29,25 @@
             val kept = roles.surplusSince.keys - roles.retired
             write(reduction, record(reduction, assigned?.plus(kept)))
         }
+        HomeRetirement.updateRoles(reduction) {
+            it.copy(
+                reviewedRecords = reduction.state.fleet.records,
+                reviewedConfiguration = reduction.state.configuration,
+            )
+        }
     }
 
     /** Allows the next write of the own record after the previous one has ended. */
     fun recordWritten(reduction: Reduction) = HomeRetirement.updateRoles(reduction) { it.copy(writtenAt = null) }
 
+    private fun needsReview(reduction: Reduction, own: FleetRecord.Proxy): Boolean {
+        val roles = reduction.state.fleet.roles
+        val unchanged =
+            roles.reviewedRecords === reduction.state.fleet.records &&
+                roles.reviewedConfiguration === reduction.state.configuration
+        return !unchanged || !roles.isSettled || own.leaving != (reduction.state.stoppingSince != null)
+    }
+
     private fun record(reduction: Reduction, groups: Set<GroupName>?): FleetRecord.Proxy {
         val self = reduction.state.self
         return FleetRecord.Proxy(
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/LeaseRenewal.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/LeaseRenewal.kt
@@ -52,7 +52,7 @@
             reduction.state.copy(
                 fleet =
                 fleet.copy(
-                    records = FleetRecords(event.records),
+                    records = fleet.records.updated(event.records),
                     leaseFrom = if (registered) latest(event.sentAt, fleet.leaseFrom) else fleet.leaseFrom,
                     readAt = reduction.now,
                     readSentAt = latest(event.sentAt, fleet.readSentAt),
@@ -65,7 +65,7 @@
                 ),
             )
         if (!registered && reduction.state.stoppingSince == null) register(reduction, own)
-        adopt(reduction, event.records)
+        if (reduction.state.fleet.records !== fleet.records) adopt(reduction, event.records)
         HomeAssignment.review(reduction)
         ChangeFencing.handleMembersRead(reduction, event.sentAt)
         FleetReadRelay.answerWaiting(reduction, event.sentAt)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/FleetRecords.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/FleetRecords.kt
@@ -21,6 +21,10 @@
     fun homes(group: GroupName): List<FleetRecord.Proxy> =
         homesByGroup.getOrPut(group) { members.values.filter { it.isHomeOf(group) } }
 
+    /** These records if [records] is what they were made of; else new ones. */
+    fun updated(records: Map<FleetKey, StoredRecord>): FleetRecords =
+        if (records === byKey) this else FleetRecords(records)
+
     override fun equals(other: Any?): Boolean = other is FleetRecords && byKey == other.byKey
 
     override fun hashCode(): Int = byKey.hashCode()
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
@@ -40,6 +40,8 @@
     val pools: PersistentMap<ServerName, PersistentSet<ConnectionNumber>> = persistentMapOf(),
     val health: PersistentMap<ServerName, ServerHealth> = persistentMapOf(),
     val nextConnection: Long = 1,
+    /** Whether the timer of requests is running; it runs only while it is needed. */
+    val requestTimerRuns: Boolean = false,
     val stoppingSince: MonotonicTime? = null,
     /** When the proxy stopped accepting sessions. */
     val listeningUntil: MonotonicTime? = null,
@@ -111,7 +113,13 @@
     val retiredRevision: Long? = null,
     /** When the proxy's own record was last written; null if the write has ended. */
     val writtenAt: MonotonicTime? = null,
-)
+    /** The records and the configuration by which the roles were last reviewed. */
+    val reviewedRecords: FleetRecords? = null,
+    val reviewedConfiguration: RoutingConfiguration? = null,
+) {
+    /** Whether nothing is in progress that has to be reviewed again. */
+    val isSettled: Boolean get() = surplusSince.isEmpty() && retired.isEmpty() && writtenAt == null
+}
 
 /** Ping results of one peer. */
 data class PeerView(val answeredAt: MonotonicTime?, val misses: Int = 0, val missingSince: MonotonicTime? = null)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
@@ -87,8 +87,8 @@
     val pingedPeers: Int = 8,
     /** Delay before each further proxy that pings an unresponsive peer expels it, so that usually only one does. */
     val expulsionRankDelay: Millis = 500.milliseconds,
-    /** A peer is expelled after missing pings for this long; longer than brief pauses of a process. */
-    val expulsionTimeout: Millis = 3.seconds,
+    /** A peer is expelled after missing pings for this long; longer than most partitions between proxies. */
+    val expulsionTimeout: Millis = 6.seconds,
     /** Consecutive pings that a peer misses before it is expelled. */
     val missedPings: Int = 2,
     /** Remaining validity of the lease that a write needs; longer than writes take under load. */
@@ -152,6 +152,8 @@
     val promotionTimeout: Millis = 2500.milliseconds,
     /** Time after which another proxy continues a change that makes no progress. */
     val takeoverTimeout: Millis = 5.seconds,
+    /** Time after which a change is taken over even if the proxy that began it answers; above every wait in it. */
+    val changeTimeout: Millis = 25.seconds,
     /** Time after which the proxy that is replacing a primary is asked whether it still runs. */
     val takeoverCheckDelay: Millis = 1500.milliseconds,
 )
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/HomeAssignmentTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/HomeAssignmentTest.kt
@@ -1,10 +1,12 @@
 package dev.hibiscusreach.sessions
 
+import dev.hibiscusreach.sessions.event.PeerOutcome
 import dev.hibiscusreach.sessions.event.PeerRequestNumber
 import dev.hibiscusreach.sessions.event.SessionEffect
 import dev.hibiscusreach.sessions.event.SessionEvent
 import dev.hibiscusreach.sessions.model.FleetKey
 import dev.hibiscusreach.sessions.model.FleetRecord
+import dev.hibiscusreach.sessions.model.GroupName
 import dev.hibiscusreach.sessions.model.PeerAnswer
 import dev.hibiscusreach.sessions.model.PeerRequest
 import org.junit.jupiter.api.Test
@@ -13,6 +15,7 @@
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isNotEmpty
 
 /** Homes of groups when hosts join and leave, and writes of a proxy's record have no answer. */
@@ -95,6 +98,43 @@
         expectThat(record(home).groups.orEmpty()).contains(group)
     }
 
+    @Test
+    fun `a proxy that is no home any more completes its change of primary - guards against a fence that stays`() {
+        val home = fleet.homes(0).first()
+        val identity = record(home).identity
+        val key = FleetKey.group(GROUP)
+        val intent = fleet.store.getValue(key).record as FleetRecord.Group
+        fleet.store[key] = fleet.store.getValue(key).copy(record = intent.copy(epoch = 2, changedBy = identity), 900)
+        val own = FleetKey.proxy(home)
+        fleet.store[own] = fleet.store.getValue(own).copy(record = record(home).copy(groups = emptySet()), 901)
+        fleet.writesLost += home
+        fleet.nodes.filter { it != home }.forEach { fleet.lose(it) }
+        fleet.otherEffects.clear()
+        fleet.advance(14_000)
+        val asked = fleet.otherEffects.filter { it.first == home }.map { it.second }
+        expectThat(asked.filterIsInstance<SessionEffect.SendControl>()).isNotEmpty()
+    }
+
+    @Test
+    fun `a change of primary that its proxy never ends is taken over - guards against a fence that stays`() {
+        val changer = fleet.nodes.first { it !in fleet.homes(0) }
+        val key = FleetKey.group(GROUP)
+        val intent = fleet.store.getValue(key).record as FleetRecord.Group
+        val identity = record(changer).identity
+        fleet.store[key] = fleet.store.getValue(key).copy(record = intent.copy(epoch = 2, changedBy = identity), 900)
+        val silent = fleet.states.getValue(changer)
+        repeat(30) {
+            fleet.advance(1_000)
+            fleet.states[changer] = silent
+            fleet.nodes.filter { it != changer }.forEach { node ->
+                val alive = PeerOutcome.Answered(PeerAnswer.Done)
+                fleet.feed(node, SessionEvent.PeerAnswered(FleetFixture.endpoint(changer), PeerRequest.Ping, alive))
+            }
+        }
+        val record = fleet.store.getValue(key).record as FleetRecord.Group
+        expectThat(record.epoch).isGreaterThan(2)
+    }
+
     @Test
     fun `a proxy that is no home confirms a fence at once`() {
         val other = fleet.nodes.first { it !in fleet.homes(0) }
@@ -103,4 +143,8 @@
         val answers = fleet.otherEffects.map { it.second }.filterIsInstance<SessionEffect.AnswerPeer>()
         expectThat(answers.map { it.answer }).isEqualTo(listOf(PeerAnswer.Done))
     }
+
+    private companion object {
+        val GROUP = GroupName("group-1")
+    }
 }
