--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/platform/HttpPlatformClient.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/platform/HttpPlatformClient.kt
@@ -19,7 +19,7 @@
 class HttpPlatformClient(
     group: EventLoopGroup,
     private val endpoints: List<Endpoint>,
-    private val sink: EventSink = EventSink {},
+    private val sink: EventSink = EventSink.Discarding,
 ) : PlatformClient {
     private val httpClient = HttpClient(group, MAXIMUM_RESPONSE_BYTES)
 
