Run a forwarded statement only by a route that the home knows

Cause: a home ran forwarded statements by the route of the sender, whatever its own configuration said. A host could thereby show a version to the servers and then refuse sessions by an older one, or run a statement of a route that it had seen removed.

Statements carry the version of the configuration. A home whose own route differs refuses a newer one, reads the configuration from the store and gets the statement again after 50 ms; a sender with an older route reads the configuration and queues the statement by the current one. A transaction keeps the route with which it began. Without the store a home runs the statement.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEffect.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEffect.kt
@@ -53,6 +53,9 @@
     /** Reads the latest fleet records from the store itself, beside the reads that go on. */
     data object ReadFleet : SessionEffect
 
+    /** Reads the latest configuration from the store itself, beside the reads that go on. */
+    data object ReadConfiguration : SessionEffect
+
     /** Reads the store's objects through [peer] from now on, or from the store itself if it is null. */
     data class SelectStoreSource(val peer: Endpoint?) : SessionEffect
 
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/ForwardedStatement.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/ForwardedStatement.kt
@@ -21,6 +21,8 @@
     val scope: ForwardedScope = ForwardedScope.SINGLE,
     /** Time since the statement arrived at the forwarding proxy. */
     val waited: Millis = Millis(0),
+    /** Version of the configuration that [route] is part of; null from proxies that do not send it. */
+    val configurationVersion: Long? = null,
 )
 
 /** What a home runs for a [ForwardedStatement]. */
@@ -78,4 +80,9 @@
     @Serializable
     @SerialName("notServed")
     data class NotServed(val reason: String) : ForwardedAnswer
+
+    /** The receiver's configuration, at [version], has another route or none; the statement has not run. */
+    @Serializable
+    @SerialName("otherRoute")
+    data class OtherRoute(val version: Long) : ForwardedAnswer
 }
--- /dev/null
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ConfigurationAgreement.kt
@@ -0,0 +1,65 @@
+package dev.hibiscusreach.sessions.part
+
+import dev.hibiscusreach.core.model.ErrorKind
+import dev.hibiscusreach.sessions.event.SessionEffect
+import dev.hibiscusreach.sessions.model.ForwardedAnswer
+import dev.hibiscusreach.sessions.model.ForwardedScope
+import dev.hibiscusreach.sessions.model.ForwardedStatement
+import dev.hibiscusreach.sessions.state.PendingStatement
+import dev.hibiscusreach.sessions.state.Session
+import dev.hibiscusreach.sessions.state.Transaction
+
+/**
+ * Keeps proxies that know different versions of the configuration from contradicting each other. A home runs no
+ * statement by a route that it does not know itself: otherwise it would show a version to the servers and then refuse
+ * sessions by an older one, or run a statement of a route that it has already seen removed.
+ */
+internal object ConfigurationAgreement {
+    /** The answer to a forwarded statement whose route is not the one in force here; null if it may run. */
+    fun refusal(reduction: Reduction, statement: ForwardedStatement): ForwardedAnswer.OtherRoute? {
+        val own = reduction.state.configuration
+        val version = statement.configurationVersion
+        val isKnown = own == null || version == null || own.routes[statement.route.database] == statement.route
+        if (isKnown || version == own.version) return null
+        val mayRun = if (version > own.version) !mayLearn(reduction) else beganEarlier(statement)
+        return ForwardedAnswer.OtherRoute(own.version).takeIf { !mayRun }
+    }
+
+    // Without the store a newer version cannot be learned in time, and callers come before agreement.
+    private fun mayLearn(reduction: Reduction): Boolean {
+        refresh(reduction)
+        return !reduction.state.fleet.storeLost
+    }
+
+    // A change of a route applies from the next transaction on.
+    private fun beganEarlier(statement: ForwardedStatement) = statement.scope != ForwardedScope.SINGLE
+
+    /** Reads the configuration from the store itself, because a peer knows a newer version. */
+    fun refresh(reduction: Reduction) {
+        val askedAt = reduction.state.configurationAskedAt
+        val pause = reduction.settings.statements.configurationRefreshPause
+        if (askedAt != null && reduction.now - askedAt < pause) return
+        reduction.state = reduction.state.copy(configurationAskedAt = reduction.now)
+        reduction.log("configuration read again", "inForce" to reduction.state.configuration?.version)
+        reduction.emit(SessionEffect.ReadConfiguration)
+    }
+
+    /** Whether a statement outside of a transaction waits by a route that the configuration has no longer. */
+    fun isOutdated(reduction: Reduction, session: Session, pending: PendingStatement): Boolean {
+        val configuration = reduction.state.configuration ?: return false
+        val mayChange = !session.isForwarded && session.transaction is Transaction.None
+        return mayChange && configuration.routes[session.database] != pending.route
+    }
+
+    /** Queues a statement by the current route of its database, or refuses it if there is none. */
+    fun reroute(reduction: Reduction, session: Session, pending: PendingStatement) {
+        reduction.dequeue(pending.route.group, session.number)
+        val route = reduction.state.configuration?.routes?.get(session.database)
+        if (route == null) {
+            StatementFailures.refuse(reduction, session, pending, ErrorKind.UNKNOWN_DATABASE, "no such database")
+        } else {
+            val rerouted = pending.copy(route = route, excluded = emptySet(), excludedHomes = emptySet())
+            StatementDispatch.requeue(reduction, session, rerouted)
+        }
+    }
+}
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ForwardOutcomes.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ForwardOutcomes.kt
@@ -26,7 +26,15 @@
         val pending = session?.pending?.takeIf { it.identifier == event.identifier }
         if (session == null || pending == null || pending.phase != Phase.Forwarded(event.home)) return
         when (val answer = event.answer) {
-            is ForwardedAnswer.NotServed -> notServed(reduction, session, pending, event.home)
+            is ForwardedAnswer.NotServed -> {
+                StatementForwarding.avoid(reduction, event.home)
+                notServed(reduction, session, pending, event.home)
+            }
+            is ForwardedAnswer.OtherRoute -> {
+                val known = reduction.state.configuration?.version ?: 0
+                if (answer.version > known) ConfigurationAgreement.refresh(reduction)
+                notServed(reduction, session, pending, event.home)
+            }
             is ForwardedAnswer.Replied -> replied(reduction, session, pending, event.home, answer)
         }
     }
@@ -83,7 +91,6 @@
         }
 
     private fun notServed(reduction: Reduction, session: Session, pending: PendingStatement, home: Endpoint) {
-        StatementForwarding.avoid(reduction, home)
         when {
             session.remote != null -> endTransaction(reduction, session, pending, ErrorKind.TRANSACTION_ENDED)
             tryElsewhere(reduction, session, pending, home) -> Unit
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ForwardedArrivals.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ForwardedArrivals.kt
@@ -26,6 +26,7 @@
         val statement = event.statement
         val known = reduction.session(event.session)
         val reason = refusalReason(reduction, statement)
+        val otherRoute = if (known == null) ConfigurationAgreement.refusal(reduction, statement) else null
         when {
             known != null -> run(reduction, known, event)
             statement.scope == ForwardedScope.RUNNING -> refuseUnknownTransaction(reduction, event)
@@ -33,6 +34,16 @@
                 reduction.log("forwarded statement refused", "request" to statement.identifier, "reason" to reason)
                 reduction.emit(SessionEffect.AnswerForwarded(event.session, ForwardedAnswer.NotServed(reason)))
             }
+            otherRoute != null -> {
+                reduction.log(
+                    "forwarded statement refused",
+                    "request" to statement.identifier,
+                    "reason" to "the configuration has another route",
+                    "version" to otherRoute.version,
+                    "versionOfPeer" to statement.configurationVersion,
+                )
+                reduction.emit(SessionEffect.AnswerForwarded(event.session, otherRoute))
+            }
             else -> run(reduction, session(reduction, event), event)
         }
     }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ForwardedMessages.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ForwardedMessages.kt
@@ -20,6 +20,7 @@
             lastCommit = session.lastCommit?.takeIf { it.group == pending.route.group }?.position,
             scope = scope(session.transaction),
             waited = reduction.now - pending.arrivedAt,
+            configurationVersion = reduction.state.configuration?.version,
         )
 
     private fun operation(session: Session, pending: PendingStatement): ForwardedOperation =
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/StatementDispatch.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/StatementDispatch.kt
@@ -27,6 +27,9 @@
 
     /** Sends a statement again or puts it back into the queue. With [pause] it is not sent before the pause ends. */
     fun requeue(reduction: Reduction, session: Session, pending: PendingStatement, pause: Millis? = null) {
+        if (ConfigurationAgreement.isOutdated(reduction, session, pending)) {
+            return ConfigurationAgreement.reroute(reduction, session, pending)
+        }
         val waiting = pending.copy(phase = Phase.Waiting(pause?.let { reduction.now + it }))
         val next = session.copy(pending = waiting)
         reduction.put(next)
@@ -38,10 +41,11 @@
         for (number in reduction.state.waiting[group].orEmpty().sortedBy { dispatchOrder(reduction, it) }) {
             val session = reduction.session(number)
             val pending = session?.pending
-            if (pending == null || pending.phase !is Phase.Waiting) {
-                reduction.dequeue(group, number)
-            } else if (assign(reduction, session, pending)) {
-                reduction.dequeue(group, number)
+            when {
+                pending == null || pending.phase !is Phase.Waiting -> reduction.dequeue(group, number)
+                ConfigurationAgreement.isOutdated(reduction, session, pending) ->
+                    ConfigurationAgreement.reroute(reduction, session, pending)
+                assign(reduction, session, pending) -> reduction.dequeue(group, number)
             }
         }
     }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
@@ -40,6 +40,8 @@
     val pools: PersistentMap<ServerName, PersistentSet<ConnectionNumber>> = persistentMapOf(),
     val health: PersistentMap<ServerName, ServerHealth> = persistentMapOf(),
     val nextConnection: Long = 1,
+    /** When the configuration was last read because a peer knows a newer version. */
+    val configurationAskedAt: MonotonicTime? = null,
     /** Whether the timer of requests is running; it runs only while it is needed. */
     val requestTimerRuns: Boolean = false,
     val stoppingSince: MonotonicTime? = null,
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
@@ -40,6 +40,8 @@
     val silenceTimeout: Millis = 800.milliseconds,
     /** Share of the latency objective, in percent, that a statement may wait for a connection. */
     val maxWaitPercent: Int = 50,
+    /** Pause between two reads of the configuration after peers have shown a newer version; a few store calls. */
+    val configurationRefreshPause: Millis = 50.milliseconds,
     /** Retry advice when no primary is available; about the duration of a change of primary. */
     val noPrimaryRetryAfter: Millis = 500.milliseconds,
     /** Retry advice under overload; the duration of a few statements. */
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/FleetFixture.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/FleetFixture.kt
@@ -109,9 +109,9 @@
     }
 
     /** Opens a session at [node] and returns its number. */
-    fun session(node: String, group: Int = 0): SessionNumber {
+    fun session(node: String, group: Int = 0, database: DatabaseName = database(groupNames[group])): SessionNumber {
         val number = SessionNumber(nextSession++)
-        feed(node, SessionEvent.SessionRequested(number, database(groupNames[group])))
+        feed(node, SessionEvent.SessionRequested(number, database))
         return number
     }
 
@@ -211,10 +211,17 @@
         feed(node, SessionEvent.FleetWritten(effect.key, outcome))
     }
 
-    private fun configuration() =
+    /** A configuration with the routes of all groups, and those of [added] to the first group, but not of [removed]. */
+    fun configuration(
+        version: Long = 1,
+        added: List<DatabaseName> = emptyList(),
+        removed: Set<DatabaseName> = emptySet(),
+    ) =
         RoutingConfiguration(
-            version = 1,
-            routes = groupNames.associate { database(it) to route(it) },
+            version = version,
+            routes = (groupNames.associateBy { database(it) } + added.associateWith { groupNames.first() })
+                .filterKeys { it !in removed }
+                .mapValues { (database, group) -> route(group).copy(database = database) },
             groups = groupNames.associateWith { GroupRule(it, connectionLimit, synchronousReplicas = 0) },
             transactionIdleLimit = Millis(3_000),
         )
