--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpCall.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpCall.kt
@@ -24,7 +24,15 @@
 /** How an [HttpCall] ended. */
 sealed interface HttpOutcome {
     /** A complete response was received. */
-    data class Answered(val status: Int, val body: String) : HttpOutcome
+    data class Answered(
+        val status: Int,
+        val body: String,
+        /** The header fields; their names keep the case in which they were sent. */
+        val headers: Map<String, String> = emptyMap(),
+    ) : HttpOutcome {
+        /** The value of a header field; names are compared without regard to case. */
+        fun header(name: String): String? = headers.entries.find { it.key.equals(name, ignoreCase = true) }?.value
+    }
 
     /** No complete response was received. */
     data class Failed(val failure: ConnectionFailure) : HttpOutcome
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpConnection.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpConnection.kt
@@ -84,7 +84,9 @@
         if (response.decoderResult().isFailure) {
             context.close()
         } else {
-            val answer = HttpOutcome.Answered(response.status().code(), response.content().toString(Charsets.UTF_8))
+            val body = response.content().toString(Charsets.UTF_8)
+            val headers = response.headers().associate { it.key to it.value }
+            val answer = HttpOutcome.Answered(response.status().code(), body, headers)
             listener.answered(this, answer, HttpUtil.isKeepAlive(response))
         }
     }
