--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEffect.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEffect.kt
@@ -13,6 +13,7 @@
 import dev.hibiscusreach.sessions.model.GroupName
 import dev.hibiscusreach.sessions.model.PeerAnswer
 import dev.hibiscusreach.sessions.model.PeerRequest
+import dev.hibiscusreach.sessions.model.Revision
 import dev.hibiscusreach.sessions.model.RegisteredServer
 import dev.hibiscusreach.sessions.model.ServerStatement
 import dev.hibiscusreach.sessions.model.SessionReply
@@ -60,10 +61,10 @@
     data class SelectStoreSource(val peer: Endpoint?) : SessionEffect
 
     /** Writes a record if it still has [expectedRevision]; null means that it must not exist. */
-    data class WriteFleet(val key: FleetKey, val record: FleetRecord, val expectedRevision: Long?) : SessionEffect
+    data class WriteFleet(val key: FleetKey, val record: FleetRecord, val expectedRevision: Revision?) : SessionEffect
 
     /** Deletes a record if it still has [expectedRevision]. */
-    data class DeleteFleet(val key: FleetKey, val expectedRevision: Long) : SessionEffect
+    data class DeleteFleet(val key: FleetKey, val expectedRevision: Revision) : SessionEffect
 
     /** Sends a request to a peer. */
     data class AskPeer(val peer: Endpoint, val request: PeerRequest) : SessionEffect
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEvent.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEvent.kt
@@ -15,6 +15,7 @@
 import dev.hibiscusreach.sessions.model.PeerAnswer
 import dev.hibiscusreach.sessions.model.PeerRequest
 import dev.hibiscusreach.sessions.model.RegisteredServer
+import dev.hibiscusreach.sessions.model.Revision
 import dev.hibiscusreach.sessions.model.RoutingConfiguration
 import dev.hibiscusreach.sessions.model.ServerAnswer
 import dev.hibiscusreach.sessions.model.ServerFailure
@@ -126,7 +127,7 @@
 /** Outcome of a conditional write to the store. */
 sealed interface WriteOutcome {
     /** The write took effect; the record has [revision] now. */
-    data class Written(val revision: Long) : WriteOutcome
+    data class Written(val revision: Revision) : WriteOutcome
 
     /** The record had another revision than expected; nothing was written. */
     data object Conflict : WriteOutcome
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/FleetRecords.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/FleetRecords.kt
@@ -78,7 +78,11 @@
 
 /** A record with its revision; a later write of any record in the store has a higher revision. */
 @Serializable
-data class StoredRecord(val record: FleetRecord, val revision: Long)
+data class StoredRecord(
+    val record: FleetRecord,
+    @Serializable(with = RevisionNumberSerializer::class)
+    val revision: Revision,
+)
 
 /** A message between two proxies. */
 @Serializable
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/FleetEvents.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/FleetEvents.kt
@@ -9,6 +9,7 @@
 import dev.hibiscusreach.sessions.model.GroupName
 import dev.hibiscusreach.sessions.model.PeerAnswer
 import dev.hibiscusreach.sessions.model.PeerRequest
+import dev.hibiscusreach.sessions.model.Revision
 
 /** Dispatches events about fleet records, peers and server control to their handlers. */
 internal object FleetEvents {
@@ -51,7 +52,8 @@
                 reduction.emit(SessionEffect.AnswerPeer(number, answer))
             }
             is PeerRequest.Publish -> {
-                GroupRecordAdoption.adopt(reduction, GroupName(request.record.group), request.record, request.revision)
+                val revision = Revision(request.revision)
+                GroupRecordAdoption.adopt(reduction, GroupName(request.record.group), request.record, revision)
                 reduction.emit(SessionEffect.AnswerPeer(number, PeerAnswer.Done))
             }
         }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupRecordAdoption.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupRecordAdoption.kt
@@ -3,12 +3,13 @@
 import dev.hibiscusreach.sessions.event.SessionCounter
 import dev.hibiscusreach.sessions.model.FleetRecord
 import dev.hibiscusreach.sessions.model.GroupName
+import dev.hibiscusreach.sessions.model.Revision
 import dev.hibiscusreach.sessions.state.GroupView
 
 /** Adopts group records that were read from the store or published by peers. */
 internal object GroupRecordAdoption {
     /** Adopts [record] if it has a higher epoch than the known one, or the same epoch and completes its change. */
-    fun adopt(reduction: Reduction, name: GroupName, record: FleetRecord.Group, revision: Long) {
+    fun adopt(reduction: Reduction, name: GroupName, record: FleetRecord.Group, revision: Revision) {
         val group = reduction.group(name)
         val known = group.record
         val newer =
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/HomeRetirement.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/HomeRetirement.kt
@@ -2,6 +2,7 @@
 
 import dev.hibiscusreach.sessions.model.FleetKey
 import dev.hibiscusreach.sessions.model.GroupName
+import dev.hibiscusreach.sessions.model.Revision
 import dev.hibiscusreach.sessions.state.HomeRoles
 
 /**
@@ -38,7 +39,7 @@
     fun ownKey(reduction: Reduction) = FleetKey.proxy(reduction.state.self.identity.node)
 
     /** Revision of this proxy's record as last read. */
-    fun ownRevision(reduction: Reduction): Long? =
+    fun ownRevision(reduction: Reduction): Revision? =
         reduction.state.fleet.records[ownKey(reduction)]?.revision
 
     /** Replaces the roles with the result of [change]. */
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryChanges.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryChanges.kt
@@ -6,6 +6,7 @@
 import dev.hibiscusreach.sessions.model.FleetKey
 import dev.hibiscusreach.sessions.model.GroupName
 import dev.hibiscusreach.sessions.model.PeerRequest
+import dev.hibiscusreach.sessions.model.Revision
 import dev.hibiscusreach.sessions.state.ChangePhase
 import dev.hibiscusreach.sessions.state.ChangeReason
 import dev.hibiscusreach.sessions.state.GroupView
@@ -75,7 +76,7 @@
         return next
     }
 
-    private fun startFencing(reduction: Reduction, group: GroupView, change: PrimaryChange, revision: Long) {
+    private fun startFencing(reduction: Reduction, group: GroupView, change: PrimaryChange, revision: Revision) {
         val intent = change.intent ?: return
         reduction.put(group.copy(record = intent, revision = revision, adoptedAt = reduction.now))
         ChangeFencing.start(reduction, reduction.group(group.name), change)
@@ -94,11 +95,11 @@
         LeaseRenewal.read(reduction)
     }
 
-    private fun complete(reduction: Reduction, group: GroupView, change: PrimaryChange, revision: Long) {
+    private fun complete(reduction: Reduction, group: GroupView, change: PrimaryChange, revision: Revision) {
         val record = change.published ?: return
         GroupRecordAdoption.adopt(reduction, group.name, record, revision)
         reduction.count(SessionCounter.PRIMARY_CHANGES, "completed")
-        val request = PeerRequest.Publish(record, revision)
+        val request = PeerRequest.Publish(record, revision.number)
         GroupHomes.otherEndpoints(reduction, group.name).forEach { reduction.emit(SessionEffect.AskPeer(it, request)) }
         reduction.put(
             reduction.group(group.name).copy(changeAfter = reduction.now + reduction.settings.changes.retryPause),
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PromoterLocking.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PromoterLocking.kt
@@ -49,7 +49,7 @@
         val group = reduction.state.groups.values.find { it.change?.phase == ChangePhase.ACQUIRING }
         val requested = group?.change?.promoterLock
         if (outcome is WriteOutcome.Written && requested != null) {
-            requestPromotion(reduction, group, group.change, requested.copy(token = outcome.revision))
+            requestPromotion(reduction, group, group.change, requested.copy(token = outcome.revision.ordinal))
         }
     }
 
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/GroupView.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/GroupView.kt
@@ -8,6 +8,7 @@
 import dev.hibiscusreach.sessions.event.PeerRequestNumber
 import dev.hibiscusreach.sessions.model.FleetRecord
 import dev.hibiscusreach.sessions.model.GroupName
+import dev.hibiscusreach.sessions.model.Revision
 import dev.hibiscusreach.sessions.model.ServerStatus
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
@@ -16,7 +17,7 @@
 data class GroupView(
     val name: GroupName,
     val record: FleetRecord.Group? = null,
-    val revision: Long = 0,
+    val revision: Revision = Revision(0),
     val adoptedAt: MonotonicTime? = null,
     /** Latest known log positions of the primary, newest last. */
     val heads: PersistentList<HeadSample> = persistentListOf(),
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
@@ -11,6 +11,7 @@
 import dev.hibiscusreach.sessions.model.FleetRecord
 import dev.hibiscusreach.sessions.model.GroupName
 import dev.hibiscusreach.sessions.model.RegisteredServer
+import dev.hibiscusreach.sessions.model.Revision
 import dev.hibiscusreach.sessions.model.RoutingConfiguration
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
@@ -112,7 +113,7 @@
     /** Groups whose servers this proxy uses no longer; they are removed from its record next. */
     val retired: Set<GroupName> = emptySet(),
     /** Revision of the proxy's own record when [retired] was last updated. */
-    val retiredRevision: Long? = null,
+    val retiredRevision: Revision? = null,
     /** When the proxy's own record was last written; null if the write has ended. */
     val writtenAt: MonotonicTime? = null,
     /** The records and the configuration by which the roles were last reviewed. */
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/FleetFixture.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/FleetFixture.kt
@@ -24,6 +24,7 @@
 import dev.hibiscusreach.sessions.model.GroupRule
 import dev.hibiscusreach.sessions.model.ProxyIdentity
 import dev.hibiscusreach.sessions.model.RegisteredServer
+import dev.hibiscusreach.sessions.model.Revision
 import dev.hibiscusreach.sessions.model.Route
 import dev.hibiscusreach.sessions.model.RoutingConfiguration
 import dev.hibiscusreach.sessions.model.ServerAnswer
@@ -67,7 +68,8 @@
 
     init {
         groupNames.forEach {
-            store[FleetKey.group(it)] = StoredRecord(FleetRecord.Group(it.value, 1, Term(1), primary(it)), revision++)
+            val record = FleetRecord.Group(it.value, epoch = 1, term = Term(1), primary = primary(it))
+            store[FleetKey.group(it)] = StoredRecord(record, Revision(revision++))
         }
         nodes.forEach { start(it) }
     }
@@ -206,8 +208,8 @@
     private fun write(node: String, effect: SessionEffect.WriteFleet) {
         if (node in writesLost) return
         val matches = store[effect.key]?.revision == effect.expectedRevision
-        if (matches) store[effect.key] = StoredRecord(effect.record, ++revision)
-        val outcome = if (matches) WriteOutcome.Written(revision) else WriteOutcome.Conflict
+        if (matches) store[effect.key] = StoredRecord(effect.record, Revision(++revision))
+        val outcome = if (matches) WriteOutcome.Written(Revision(revision)) else WriteOutcome.Conflict
         feed(node, SessionEvent.FleetWritten(effect.key, outcome))
     }
 
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/HomeAssignmentTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/HomeAssignmentTest.kt
@@ -9,6 +9,8 @@
 import dev.hibiscusreach.sessions.model.GroupName
 import dev.hibiscusreach.sessions.model.PeerAnswer
 import dev.hibiscusreach.sessions.model.PeerRequest
+import dev.hibiscusreach.sessions.model.Revision
+import dev.hibiscusreach.sessions.model.StoredRecord
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.contains
@@ -104,9 +106,9 @@
         val identity = record(home).identity
         val key = FleetKey.group(GROUP)
         val intent = fleet.store.getValue(key).record as FleetRecord.Group
-        fleet.store[key] = fleet.store.getValue(key).copy(record = intent.copy(epoch = 2, changedBy = identity), 900)
+        fleet.store[key] = StoredRecord(intent.copy(epoch = 2, changedBy = identity), Revision(900))
         val own = FleetKey.proxy(home)
-        fleet.store[own] = fleet.store.getValue(own).copy(record = record(home).copy(groups = emptySet()), 901)
+        fleet.store[own] = StoredRecord(record(home).copy(groups = emptySet()), Revision(901))
         fleet.writesLost += home
         fleet.nodes.filter { it != home }.forEach { fleet.lose(it) }
         fleet.otherEffects.clear()
@@ -121,7 +123,7 @@
         val key = FleetKey.group(GROUP)
         val intent = fleet.store.getValue(key).record as FleetRecord.Group
         val identity = record(changer).identity
-        fleet.store[key] = fleet.store.getValue(key).copy(record = intent.copy(epoch = 2, changedBy = identity), 900)
+        fleet.store[key] = StoredRecord(intent.copy(epoch = 2, changedBy = identity), Revision(900))
         val silent = fleet.states.getValue(changer)
         repeat(30) {
             fleet.advance(1_000)
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
@@ -27,6 +27,7 @@
 import dev.hibiscusreach.sessions.model.FleetRecord
 import dev.hibiscusreach.sessions.model.PeerAnswer
 import dev.hibiscusreach.sessions.model.PeerRequest
+import dev.hibiscusreach.sessions.model.Revision
 import dev.hibiscusreach.sessions.model.ServerStatus
 import dev.hibiscusreach.sessions.model.SessionReply
 import dev.hibiscusreach.sessions.model.StoredRecord
@@ -55,7 +56,7 @@
         val leaving = SERVERS.map { if (it.name == PRIMARY) server(PRIMARY, EAST, ServerRole.PRIMARY, true) else it }
         proxy.feed(SessionEvent.ServersRead(leaving.associateBy { it.name }))
         proxy.advanceTime(1_000)
-        proxy.feed(SessionEvent.FleetWritten(FleetKey.group(GROUP), WriteOutcome.Written(20)))
+        proxy.feed(SessionEvent.FleetWritten(FleetKey.group(GROUP), WriteOutcome.Written(Revision(20))))
     }
 
     private fun confirmFence(node: String, outcome: PeerOutcome = confirmed) {
@@ -77,7 +78,7 @@
         listOf("node-2", "node-3").forEach { confirmFence(it) }
         proxy.advanceTime(100)
         reportStatuses()
-        proxy.feed(SessionEvent.FleetWritten(FleetKey.PROMOTER, WriteOutcome.Written(31)))
+        proxy.feed(SessionEvent.FleetWritten(FleetKey.PROMOTER, WriteOutcome.Written(Revision(31))))
     }
 
     @Test
@@ -228,7 +229,7 @@
         val leaving = SERVERS.map { if (it.name == PRIMARY) server(PRIMARY, EAST, ServerRole.PRIMARY, true) else it }
         proxy.feed(SessionEvent.ServersRead(leaving.associateBy { it.name }))
         proxy.advanceTime(300)
-        proxy.feed(SessionEvent.FleetWritten(FleetKey.group(GROUP), WriteOutcome.Written(20)))
+        proxy.feed(SessionEvent.FleetWritten(FleetKey.group(GROUP), WriteOutcome.Written(Revision(20))))
         proxy.readFleet(proxy.records(GROUP_RECORD.copy(epoch = 2, changedBy = proxy.peers.first())))
         proxy.advanceTime(700)
         proxy.takeEffects()
@@ -369,7 +370,7 @@
         proxy.feed(SessionEvent.FleetReadFailed("status 503"))
         expectThat(effects<SessionEffect.SelectStoreSource>().map { it.peer }).isEqualTo(listOf(endpoint("node-2")))
         proxy.now += 500
-        val records = proxy.records().mapValues { StoredRecord(it.value, revision = 7) }
+        val records = proxy.records().mapValues { StoredRecord(it.value, Revision(7)) }
         proxy.feed(SessionEvent.FleetRead(MonotonicTime(10_000), records))
         expectThat(proxy.state.fleet.leaseFrom?.millis).isEqualTo(10_000L)
     }
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/ProxyFixture.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/ProxyFixture.kt
@@ -25,6 +25,7 @@
 import dev.hibiscusreach.sessions.model.GroupRule
 import dev.hibiscusreach.sessions.model.ProxyIdentity
 import dev.hibiscusreach.sessions.model.RegisteredServer
+import dev.hibiscusreach.sessions.model.Revision
 import dev.hibiscusreach.sessions.model.Route
 import dev.hibiscusreach.sessions.model.RoutingConfiguration
 import dev.hibiscusreach.sessions.model.ServerAnswer
@@ -89,7 +90,7 @@
     }
 
     fun readFleet(records: Map<FleetKey, FleetRecord> = records()) =
-        feed(SessionEvent.FleetRead(MonotonicTime(now), records.mapValues { StoredRecord(it.value, revision = 7) }))
+        feed(SessionEvent.FleetRead(MonotonicTime(now), records.mapValues { StoredRecord(it.value, Revision(7)) }))
 
     fun records(group: FleetRecord.Group = GROUP_RECORD): Map<FleetKey, FleetRecord> =
         peers.associate { FleetKey.proxy(it.node) to FleetRecord.Proxy(it, endpoint(it.node)) } +
