--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEffect.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEffect.kt
@@ -13,8 +13,8 @@
 import dev.hibiscusreach.sessions.model.GroupName
 import dev.hibiscusreach.sessions.model.PeerAnswer
 import dev.hibiscusreach.sessions.model.PeerRequest
-import dev.hibiscusreach.sessions.model.Revision
 import dev.hibiscusreach.sessions.model.RegisteredServer
+import dev.hibiscusreach.sessions.model.Revision
 import dev.hibiscusreach.sessions.model.ServerStatement
 import dev.hibiscusreach.sessions.model.SessionReply
 
@@ -104,5 +104,6 @@
     READS("hibiscusreach.session.reads", "role"),
     CONNECTIONS("hibiscusreach.session.connections", "event"),
     FORWARDS("hibiscusreach.session.forwards", "event"),
+    STORE_RESTORATIONS("hibiscusreach.session.store.restorations", "event"),
     PRIMARY_CHANGES("hibiscusreach.session.primary.changes", "event"),
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEvent.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEvent.kt
@@ -92,7 +92,12 @@
     data class ServersRead(val servers: Map<ServerName, RegisteredServer>) : SessionEvent
 
     /** The fleet's records were read with a call to the store that was sent at [sentAt], by this proxy or a peer. */
-    data class FleetRead(val sentAt: MonotonicTime, val records: Map<FleetKey, StoredRecord>) : SessionEvent
+    data class FleetRead(
+        val sentAt: MonotonicTime,
+        val records: Map<FleetKey, StoredRecord>,
+        /** Number of the store's era; 0 if the store does not name it. */
+        val era: Long,
+    ) : SessionEvent
 
     /** The fleet's records could not be read. */
     data class FleetReadFailed(val reason: String) : SessionEvent
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/FleetRecords.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/FleetRecords.kt
@@ -32,6 +32,8 @@
         val replicas: Set<ServerName> = emptySet(),
         /** Minimum position of the successor's log, because of replicas that were removed before the change. */
         val floor: Position? = null,
+        /** Number of the store's era in which the record was written. */
+        val era: Long = 0,
     ) : FleetRecord
 
     /** A running proxy. It renews its lease on primaries only while this record exists and is not [expelled]. */
@@ -50,6 +52,8 @@
         val leaving: Boolean = false,
         /** Number of the proxy's writes of its record; it makes each of them a change with a revision of its own. */
         val writes: Long = 0,
+        /** Number of the store's era in which the record was written. */
+        val era: Long = 0,
     ) : FleetRecord {
         /** Whether this proxy may use the servers of [group]. */
         fun isHomeOf(group: GroupName): Boolean = groups == null || group in groups
@@ -59,6 +63,11 @@
     @Serializable
     @SerialName("promoter")
     data class Promoter(val holder: ProxyIdentity?) : FleetRecord
+
+    /** Tells that no lease of an era before [era] is valid any more. */
+    @Serializable
+    @SerialName("settledEra")
+    data class SettledEra(val era: Long) : FleetRecord
 }
 
 /** Name of a [FleetRecord] within the store. */
@@ -68,6 +77,9 @@
         /** The only key of a [FleetRecord.Promoter]. */
         val PROMOTER: FleetKey = FleetKey("promoter")
 
+        /** The only key of a [FleetRecord.SettledEra]. */
+        val SETTLED_ERA: FleetKey = FleetKey("settledEra")
+
         /** The key of a group's record. */
         fun group(name: GroupName): FleetKey = FleetKey("group.${name.value}")
 
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/Revision.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/Revision.kt
@@ -25,7 +25,7 @@
     override fun toString(): String = "$era.$number"
 
     companion object {
-        /** Bits of an ordinal for the number within an era; more changes than a store makes between two restorations. */
+        /** Bits of an ordinal for the number within an era; more than a store changes between two restorations. */
         private const val NUMBER_BITS = 40
 
         /** The lowest ordinal of [era]; above those of all earlier eras. */
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/AdmissionControl.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/AdmissionControl.kt
@@ -3,6 +3,7 @@
 import dev.hibiscusreach.core.model.ErrorKind
 import dev.hibiscusreach.core.model.Millis
 import dev.hibiscusreach.core.model.ServerName
+import dev.hibiscusreach.sessions.state.GroupView
 import dev.hibiscusreach.sessions.state.PendingStatement
 import dev.hibiscusreach.sessions.state.Session
 
@@ -20,6 +21,8 @@
                 ErrorKind.NO_PRIMARY to "the lease on the primary has expired and cannot be renewed"
             needsPrimary && isDown(reduction, group.record?.primary) && !PrimaryStatus.isChanging(group) ->
                 ErrorKind.NO_PRIMARY to "the primary does not answer"
+            needsPrimary && isPromotionTooLate(reduction, group, pending) ->
+                ErrorKind.NO_PRIMARY to "no server is promoted in time after the restoration of the store"
             expectedWait(reduction, pending) > maxWait(reduction, pending) ->
                 ErrorKind.OVERLOADED to "too many statements are queued for the group"
             else -> null
@@ -29,6 +32,11 @@
     private fun isDown(reduction: Reduction, primary: ServerName?): Boolean =
         primary != null && ServerHealthTracking.isSilent(reduction, primary)
 
+    private fun isPromotionTooLate(reduction: Reduction, group: GroupView, pending: PendingStatement): Boolean {
+        val deadline = pending.waitDeadline(reduction, primaryChanging = true)
+        return PrimaryStatus.isChanging(group) && reduction.now + StoreEras.remainingWait(reduction) > deadline
+    }
+
     // Assumes that each statement queued ahead takes the latency of the slowest server, spread over all connections
     // of the group.
     private fun expectedWait(reduction: Reduction, pending: PendingStatement): Millis {
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangePublication.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangePublication.kt
@@ -16,7 +16,7 @@
     /** Records [primary] as the group's primary in [term]. If it is another server, the old primary steps down. */
     fun publish(reduction: Reduction, group: GroupView, change: PrimaryChange, primary: ServerName, term: Term) {
         val record = group.record ?: return
-        val published = FleetRecord.Group(record.group, record.epoch, term, primary)
+        val published = FleetRecord.Group(record.group, record.epoch, term, primary, era = StoreEras.current(reduction))
         if (record.primary != primary) requestStepDown(reduction, record.primary, term)
         if (SuccessorChoice.pausesReplicas(reduction, group, change)) resumeReplicas(reduction, group, primary)
         val next =
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangeTakeover.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangeTakeover.kt
@@ -39,7 +39,8 @@
     /** Handles the answer to a ping of the proxy that replaces a primary. */
     fun handleChangerAnswer(reduction: Reduction, event: SessionEvent.PeerAnswered) {
         reduction.state.groups.values
-            .filter { it.change == null && changerEndpoint(reduction, it) == event.peer }
+            .filter { it.change == null && GroupRecordRepair.isRecorded(reduction, it) }
+            .filter { changerEndpoint(reduction, it) == event.peer }
             .forEach { group ->
                 when (val outcome = event.outcome) {
                     PeerOutcome.NotRunning -> PrimaryChanges.begin(reduction, group.name, ChangeReason.ABANDONED)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/FleetEvents.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/FleetEvents.kt
@@ -52,7 +52,7 @@
                 reduction.emit(SessionEffect.AnswerPeer(number, answer))
             }
             is PeerRequest.Publish -> {
-                val revision = Revision(request.revision)
+                val revision = Revision(request.revision, request.record.era)
                 GroupRecordAdoption.adopt(reduction, GroupName(request.record.group), request.record, revision)
                 reduction.emit(SessionEffect.AnswerPeer(number, PeerAnswer.Done))
             }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupMonitoring.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupMonitoring.kt
@@ -41,7 +41,13 @@
         if (server == null || reduction.group(server.group).record != null) return false
         if (status?.role == ServerRole.PRIMARY && reduction.state.fleet.readAt != null) {
             val record =
-                FleetRecord.Group(server.group.value, epoch = 1, term = status.term, primary = server.name)
+                FleetRecord.Group(
+                    group = server.group.value,
+                    epoch = StoreEras.nextEpoch(reduction, epoch = 0),
+                    term = status.term,
+                    primary = server.name,
+                    era = StoreEras.current(reduction),
+                )
             reduction.log(
                 "recording initial primary",
                 "group" to server.group,
@@ -58,6 +64,7 @@
         val askedAt = group.statusAskedAt
         when {
             rank == null || reduction.state.fleet.readAt == null -> Unit
+            !GroupRecordRepair.mayRecordFirst(reduction) -> Unit
             // The proxy of rank 0 acts at once; the others act only if those that rank before them have not.
             askedAt == null && rank > 0 -> {
                 val delay = reduction.settings.changes.rankDelay * rank
@@ -82,6 +89,7 @@
     }
 
     private fun checkGroup(reduction: Reduction, group: GroupView) {
+        GroupRecordRepair.review(reduction, group)
         probe(reduction, group)
         PrimaryFencing.settle(reduction, group.name)
         PrimaryFailureDetection.review(reduction, group.name)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupRecordAdoption.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupRecordAdoption.kt
@@ -8,13 +8,16 @@
 
 /** Adopts group records that were read from the store or published by peers. */
 internal object GroupRecordAdoption {
-    /** Adopts [record] if it has a higher epoch than the known one, or the same epoch and completes its change. */
+    /**
+     * Adopts [record] if it has a higher epoch than the known one, or the same epoch and completes its change or was
+     * written back after a restoration of the store.
+     */
     fun adopt(reduction: Reduction, name: GroupName, record: FleetRecord.Group, revision: Revision) {
         val group = reduction.group(name)
         val known = group.record
         val newer =
             known == null || record.epoch > known.epoch ||
-                record.epoch == known.epoch && known.changedBy != null && record.changedBy == null
+                record.epoch == known.epoch && completesOrConfirms(known, record)
         if (!newer) return
         reduction.log(
             "group record",
@@ -25,7 +28,14 @@
             "changedBy" to record.changedBy?.node,
             "revision" to revision,
         )
-        val current = group.copy(record = record, revision = revision, adoptedAt = reduction.now, suspicion = null)
+        val current =
+            group.copy(
+                record = record,
+                revision = revision,
+                adoptedAt = reduction.now,
+                verified = record.era >= StoreEras.current(reduction),
+                suspicion = null,
+            )
         // The new primary was checked before its promotion to hold all commits that departed replicas may have held.
         val replaced = known != null && known.term != record.term
         val adopted = if (replaced) current.copy(departed = emptyMap(), departedFloor = null) else current
@@ -37,6 +47,12 @@
         }
     }
 
+    private fun completesOrConfirms(known: FleetRecord.Group, record: FleetRecord.Group): Boolean {
+        val completes = known.changedBy != null && record.changedBy == null
+        val reopens = known.changedBy == null && record.changedBy != null
+        return completes || record.era > known.era && !reopens
+    }
+
     private fun adoptStable(reduction: Reduction, group: GroupView, record: FleetRecord.Group) {
         val fence = group.fence?.takeIf { it.epoch > record.epoch }
         reduction.put(group.copy(fence = fence, change = null))
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/HomeAssignment.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/HomeAssignment.kt
@@ -24,8 +24,7 @@
         val groups = knownGroups(reduction)
         val lacksGroup = groups.any { !own.isHomeOf(it) && (assigned == null || it in assigned) }
         val namesRetired = roles.retired.any { own.isHomeOf(it) }
-        val leaves = reduction.state.stoppingSince != null
-        if (lacksGroup || namesRetired || own.leaving != leaves) {
+        if (lacksGroup || namesRetired || isOutdated(reduction, own)) {
             val kept = roles.surplusSince.keys - roles.retired
             write(reduction, record(reduction, assigned?.plus(kept)))
         }
@@ -45,7 +44,12 @@
         val unchanged =
             roles.reviewedRecords === reduction.state.fleet.records &&
                 roles.reviewedConfiguration === reduction.state.configuration
-        return !unchanged || !roles.isSettled || own.leaving != (reduction.state.stoppingSince != null)
+        return !unchanged || !roles.isSettled || isOutdated(reduction, own)
+    }
+
+    private fun isOutdated(reduction: Reduction, own: FleetRecord.Proxy): Boolean {
+        val leaves = reduction.state.stoppingSince != null
+        return own.leaving != leaves || own.era < StoreEras.current(reduction)
     }
 
     private fun record(reduction: Reduction, groups: Set<GroupName>?): FleetRecord.Proxy {
@@ -57,6 +61,7 @@
             groups = groups,
             leaving = reduction.state.stoppingSince != null,
             writes = (GroupHomes.ownRecord(reduction)?.writes ?: 0) + 1,
+            era = StoreEras.current(reduction),
         )
     }
 
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/LeaseRenewal.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/LeaseRenewal.kt
@@ -42,10 +42,13 @@
 
     /** Handles a completed read: renews the lease if this proxy is registered, or else registers it. */
     fun read(reduction: Reduction, event: SessionEvent.FleetRead) {
+        StoreEras.observe(reduction, event.era)
         val fleet = reduction.state.fleet
         if (fleet.storeLost) reduction.log("store regained")
         val own = event.records[FleetKey.proxy(reduction.state.self.identity.node)]
         val registered = isRegistered(reduction, event.records)
+        // A record from before a restoration may be an old one, whose groups are not those that this proxy uses.
+        val renews = registered && (own?.record as? FleetRecord.Proxy)?.era == event.era
         if (registered && !fleet.registered) reduction.log("proxy registered", "revision" to own?.revision)
         val promoterChanged = event.records[FleetKey.PROMOTER]?.revision != fleet.records[FleetKey.PROMOTER]?.revision
         reduction.state =
@@ -53,7 +56,7 @@
                 fleet =
                 fleet.copy(
                     records = fleet.records.updated(event.records),
-                    leaseFrom = if (registered) latest(event.sentAt, fleet.leaseFrom) else fleet.leaseFrom,
+                    leaseFrom = if (renews) latest(event.sentAt, fleet.leaseFrom) else fleet.leaseFrom,
                     readAt = reduction.now,
                     readSentAt = latest(event.sentAt, fleet.readSentAt),
                     registered = registered,
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PeerMonitoring.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PeerMonitoring.kt
@@ -24,6 +24,7 @@
         // Peers that missed a ping are pinged in every period, so that a failure is confirmed or cleared quickly.
         peers.filter { (fleet.peers[it]?.misses ?: 0) > 0 }.forEach { ping(reduction, it) }
         ProxyExpulsion.review(reduction)
+        StoreEras.review(reduction)
     }
 
     /** Records the outcome of a ping. */
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryChanges.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryChanges.kt
@@ -22,7 +22,12 @@
     fun begin(reduction: Reduction, name: GroupName, reason: ChangeReason) {
         val group = reduction.group(name)
         val record = group.record ?: return
-        val next = record.copy(epoch = record.epoch + 1, changedBy = reduction.state.self.identity)
+        val next =
+            record.copy(
+                epoch = StoreEras.nextEpoch(reduction, record.epoch),
+                changedBy = reduction.state.self.identity,
+                era = StoreEras.current(reduction),
+            )
         val intent = DepartedReplicas.withCommitRequirements(reduction, group, next)
         reduction.log(
             "primary change begins",
@@ -59,6 +64,7 @@
         val record = group.record ?: return
         val change = group.change
         when {
+            change == null && !GroupRecordRepair.isRecorded(reduction, group) -> Unit
             change == null && record.changedBy == reduction.state.self.identity -> resumeOwnChange(reduction, group)
             change == null && record.changedBy != null -> ChangeTakeover.checkProgress(reduction, group)
             change == null -> Unit
@@ -78,7 +84,7 @@
 
     private fun startFencing(reduction: Reduction, group: GroupView, change: PrimaryChange, revision: Revision) {
         val intent = change.intent ?: return
-        reduction.put(group.copy(record = intent, revision = revision, adoptedAt = reduction.now))
+        reduction.put(group.copy(record = intent, revision = revision, adoptedAt = reduction.now, verified = true))
         ChangeFencing.start(reduction, reduction.group(group.name), change)
     }
 
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryFailureDetection.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryFailureDetection.kt
@@ -2,6 +2,7 @@
 
 import dev.hibiscusreach.core.event.ServerRole
 import dev.hibiscusreach.core.model.Millis
+import dev.hibiscusreach.core.model.MonotonicTime
 import dev.hibiscusreach.sessions.event.PeerOutcome
 import dev.hibiscusreach.sessions.event.SessionEffect
 import dev.hibiscusreach.sessions.event.SessionEvent
@@ -42,6 +43,7 @@
     private fun mayReplacePrimary(reduction: Reduction, group: GroupView): Boolean {
         val pauseOver = group.changeAfter?.let { reduction.now >= it } ?: true
         return pauseOver &&
+            GroupRecordRepair.isRecorded(reduction, group) &&
             reduction.state.serversKnown &&
             PrimaryStatus.leaseIsValid(reduction) &&
             !reduction.state.fleet.storeLost &&
@@ -78,7 +80,8 @@
         record: FleetRecord.Group,
     ) {
         val rank = ProxyRanking.ownRank(reduction, group.name) ?: return
-        val due = suspicion.since + reduction.settings.changes.rankDelay * rank
+        val begin = if (suspicion.reason.planned) plannedBegin(reduction, suspicion, record) else suspicion.since
+        val due = begin + reduction.settings.changes.rankDelay * rank
         when {
             reduction.now < due -> Unit
             !suspicion.reason.needsSightings -> PrimaryChanges.begin(reduction, group.name, suspicion.reason)
@@ -87,6 +90,13 @@
         }
     }
 
+    // The primary serves while no successor may be promoted, but not up to its end.
+    private fun plannedBegin(reduction: Reduction, suspicion: Suspicion, record: FleetRecord.Group): MonotonicTime {
+        val leavingSince = reduction.state.servers[record.primary]?.leavingSince
+        if (leavingSince == null || StoreEras.isSettled(reduction)) return suspicion.since
+        return maxOf(suspicion.since, leavingSince + reduction.settings.changes.plannedChangeDelay)
+    }
+
     private fun requestSightings(
         reduction: Reduction,
         group: GroupView,
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryStatus.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryStatus.kt
@@ -20,14 +20,21 @@
     private const val MAX_HEAD_SAMPLES = 64
 
     /**
-     * The primary if it may be used now: this proxy is a home of the group, no change is in progress, the primary is
-     * not fenced, and the lease is valid.
+     * The primary if it may be used now: this proxy is a home of the group, the record is the latest one, no change is
+     * in progress, the primary is not fenced and not about to end, and the lease is valid.
      */
     fun usablePrimary(reduction: Reduction, group: GroupView, margin: Millis = Millis(NO_MARGIN)): ServerName? {
         val record = group.record ?: return null
         val fenced = record.changedBy != null || (group.fence?.epoch ?: 0) > record.epoch
-        val allowed = !fenced && leaseIsValid(reduction, margin) && GroupHomes.isHome(reduction, group.name)
-        return record.primary.takeIf { allowed && it in reduction.state.servers }
+        val isHome = group.verified && GroupHomes.isHome(reduction, group.name)
+        val allowed = isHome && !fenced && leaseIsValid(reduction, margin)
+        return record.primary.takeIf { allowed && mayGetWork(reduction, it) }
+    }
+
+    private fun mayGetWork(reduction: Reduction, name: ServerName): Boolean {
+        val server = reduction.state.servers[name] ?: return false
+        val limit = reduction.settings.connections.leavingWorkLimit
+        return server.leavingSince?.let { reduction.now - it < limit } ?: true
     }
 
     /** Whether this proxy's lease is valid, so that no primary change can have completed without its confirmation. */
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ProxyExpulsion.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ProxyExpulsion.kt
@@ -57,7 +57,8 @@
         }
     }
 
-    private fun isFirstMember(reduction: Reduction): Boolean =
+    /** Whether this proxy's name is the first among the members, so that one proxy acts for all. */
+    fun isFirstMember(reduction: Reduction): Boolean =
         reduction.state.fleet
             .members
             .values
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ServerRegistry.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ServerRegistry.kt
@@ -30,13 +30,18 @@
     /** Applies the server entries read from the store; a server without an entry stays until a timeout. */
     fun read(reduction: Reduction, event: SessionEvent.ServersRead) {
         val before = reduction.state.servers
-        val present = event.servers.mapValues { (_, server) -> KnownServer(server) }
+        val servers = event.servers
+        val present =
+            servers.mapValues { (name, server) ->
+                val leavingSince = before[name]?.leavingSince ?: reduction.now
+                KnownServer(server, leavingSince = leavingSince.takeIf { server.leaving })
+            }
         val missing =
             before
-                .filterKeys { it !in event.servers }
+                .filterKeys { it !in servers }
                 .mapValues { (_, known) -> known.copy(missingSince = known.missingSince ?: reduction.now) }
         reduction.state = reduction.state.copy(servers = (missing + present).toPersistentMap(), serversKnown = true)
-        event.servers.values.forEach {
+        servers.values.forEach {
             handleEntry(reduction, before[it.name]?.server, it)
             DepartedReplicas.markPresent(reduction, it)
         }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorPromotion.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorPromotion.kt
@@ -7,6 +7,7 @@
 import dev.hibiscusreach.sessions.model.FleetRecord
 import dev.hibiscusreach.sessions.model.ServerStatus
 import dev.hibiscusreach.sessions.state.ChangePhase
+import dev.hibiscusreach.sessions.state.ChangeReason
 import dev.hibiscusreach.sessions.state.GroupView
 import dev.hibiscusreach.sessions.state.PrimaryChange
 
@@ -15,6 +16,8 @@
     /** Discards earlier statuses and the successor, and asks all servers of the group for their status. */
     fun inspectServers(reduction: Reduction, group: GroupView, change: PrimaryChange) {
         val inspecting = change.copy(statuses = emptyMap(), successor = null)
+        val wait = StoreEras.remainingWait(reduction)
+        if (wait.value > 0) reduction.log("promotion waits for earlier leases", "group" to group.name, "millis" to wait)
         SuccessorChoice.requestStatuses(
             reduction,
             PrimaryChanges.enterPhase(reduction, group, inspecting, ChangePhase.INSPECTING),
@@ -54,23 +57,30 @@
 
     private fun checkStatuses(reduction: Reduction, group: GroupView, change: PrimaryChange) {
         val record = group.record ?: return
-        val newPrimary = change.statuses.entries.find { isNewPrimary(record, it.key, it.value) }
+        val newPrimary =
+            change.statuses.entries.filter { isNewPrimary(record, it.key, it.value) }.maxByOrNull { it.value.term }
         val incumbent = change.statuses[record.primary]
         val elapsed = reduction.now - change.phaseSince
         val allReported = reduction.servers(group.name).all { it.name in change.statuses }
+        val isComplete = allReported || elapsed > reduction.settings.changes.statusTimeout
         val leaving = reduction.state.server(record.primary)?.leaving ?: true
         val successor = SuccessorChoice.findSuccessor(reduction, group, change)
         when {
+            change.reason == ChangeReason.RESTORED && !isComplete -> requestDueStatuses(reduction, group, change)
             newPrimary != null ->
                 ChangePublication.publish(reduction, group, change, newPrimary.key, newPrimary.value.term)
             incumbent?.role == ServerRole.PRIMARY && !leaving ->
                 ChangePublication.keepPrimary(reduction, group, change, incumbent)
-            successor != null && (allReported || elapsed > reduction.settings.changes.statusTimeout) ->
+            successor != null && isComplete && StoreEras.isSettled(reduction) ->
                 acceptSuccessor(reduction, group, change, successor, incumbent)
-            PrimaryChanges.areRequestsDue(reduction, change) -> SuccessorChoice.requestStatuses(reduction, group)
+            else -> requestDueStatuses(reduction, group, change)
         }
     }
 
+    private fun requestDueStatuses(reduction: Reduction, group: GroupView, change: PrimaryChange) {
+        if (PrimaryChanges.areRequestsDue(reduction, change)) SuccessorChoice.requestStatuses(reduction, group)
+    }
+
     // A term has only one primary, so another server that leads in the recorded term is the old primary with its log
     // under a new name.
     private fun isNewPrimary(record: FleetRecord.Group, server: ServerName, status: ServerStatus): Boolean {
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/GroupView.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/GroupView.kt
@@ -19,6 +19,10 @@
     val record: FleetRecord.Group? = null,
     val revision: Revision = Revision(0),
     val adoptedAt: MonotonicTime? = null,
+    /** Whether the record was the latest one when it became known; not so if a restored store has an old one. */
+    val verified: Boolean = false,
+    /** When the record was last written back to a restored store. */
+    val writtenBackAt: MonotonicTime? = null,
     /** Latest known log positions of the primary, newest last. */
     val heads: PersistentList<HeadSample> = persistentListOf(),
     val fence: Fence? = null,
@@ -68,6 +72,7 @@
     SILENT("the primary does not answer"),
     DEPOSED("the primary reports the replica role"),
     ABANDONED("the proxy that replaces the primary makes no progress"),
+    RESTORED("the store was restored and may lack the latest change"),
     ;
 
     /** Whether the primary still runs and hands its log over. */
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
@@ -61,8 +61,14 @@
 /** A session that arrived before the first configuration. */
 data class ArrivingSession(val number: SessionNumber, val database: DatabaseName, val since: MonotonicTime)
 
-/** A registered server, and when its entry was first missing; null if the entry is present. */
-data class KnownServer(val server: RegisteredServer, val missingSince: MonotonicTime? = null)
+/** A registered server. */
+data class KnownServer(
+    val server: RegisteredServer,
+    /** When its entry was first missing; null if the entry is present. */
+    val missingSince: MonotonicTime? = null,
+    /** When it was first reported as leaving; null if it is not. */
+    val leavingSince: MonotonicTime? = null,
+)
 
 /** The fleet's records as last read. */
 data class FleetView(
@@ -72,6 +78,8 @@
     val readAt: MonotonicTime? = null,
     /** When the latest read was sent. */
     val readSentAt: MonotonicTime? = null,
+    /** The store's era as of the latest read; null before the first one. */
+    val era: StoreEra? = null,
     val source: StoreSource = StoreSource(),
     val registered: Boolean = false,
     val reading: Boolean = false,
@@ -96,6 +104,15 @@
     val members: Map<FleetKey, FleetRecord.Proxy> get() = records.members
 }
 
+/** An era of the store; a store that is restored from a copy enters the next one. */
+data class StoreEra(
+    val number: Long,
+    /** When this proxy first read records of the era. */
+    val since: MonotonicTime,
+    /** When this proxy last wrote that the era is settled. */
+    val recordWrittenAt: MonotonicTime? = null,
+)
+
 /** Where the store's objects are read. */
 data class StoreSource(
     /** The peer through which they are read; null for the store itself. */
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
@@ -64,6 +64,8 @@
     val maxBackoff: Millis = 1600.milliseconds,
     /** Pause before reads go again to a replica that lacked a position; several times the usual replication lag. */
     val laggingReplicaPause: Millis = 200.milliseconds,
+    /** A leaving server gets no work after this long, also if its successor has not been promoted yet. */
+    val leavingWorkLimit: Millis = 5.seconds,
     /** A server is removed when its entry is missing for longer; entries return within two seconds of an outage. */
     val missingEntryTimeout: Millis = 3.seconds,
     /** Extra cost of a server in another failure domain or region, in milliseconds of latency. */
@@ -93,6 +95,8 @@
     val expulsionTimeout: Millis = 6.seconds,
     /** Consecutive pings that a peer misses before it is expelled. */
     val missedPings: Int = 2,
+    /** Pause before the record of the settled era is written again, since the answer to the write may be lost. */
+    val eraRecordPause: Millis = 2.seconds,
     /** Remaining validity of the lease that a write needs; longer than writes take under load. */
     val writeMargin: Millis = 500.milliseconds,
 )
@@ -129,6 +133,16 @@
     val sightingMaxAge: Millis = 800.milliseconds,
     /** Delay for each proxy that ranks before this one, so that usually only one proxy acts. */
     val rankDelay: Millis = 200.milliseconds,
+    /**
+     * After a restoration of the store, time for other proxies to write back a group's record; covers an outage of
+     * their reads through a peer.
+     */
+    val restorationGrace: Millis = 2.seconds,
+    /**
+     * While no server may be promoted, a planned change waits until the primary has been leaving for this long, because
+     * it is not used during the change. Below the time for which a leaving server gets work.
+     */
+    val plannedChangeDelay: Millis = 4.seconds,
     /** Pause between two attempts to change a primary. */
     val retryPause: Millis = 1000.milliseconds,
     /** Time for statements in flight to finish when a primary is replaced because of a failure. */
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/FleetFixture.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/FleetFixture.kt
@@ -61,6 +61,7 @@
     val store = HashMap<FleetKey, StoredRecord>()
     var now = 1_000L
     private var revision = 100L
+    private var era = 0L
     private var nextSession = 1L
     private val homeSessions = HashMap<Pair<String, SessionNumber>, SessionNumber>()
     private val origins = HashMap<SessionNumber, Triple<String, String, SessionNumber>>()
@@ -95,7 +96,22 @@
 
     /** Lets every running proxy read the store now. */
     fun readStore() =
-        nodes.filter { it !in lost }.forEach { feed(it, SessionEvent.FleetRead(MonotonicTime(now), store.toMap())) }
+        nodes.filter { it !in lost }.forEach { feed(it, fleetRead()) }
+
+    private fun fleetRead() = SessionEvent.FleetRead(MonotonicTime(now), store.toMap(), era)
+
+    /** Replaces the records with those of [copy]; later revisions are given out again, in the next era. */
+    fun restoreStore(copy: Map<FleetKey, StoredRecord>) {
+        era++
+        revision = copy.values.maxOf { it.revision.number }
+        store.clear()
+        store += copy.mapValues { it.value.copy(revision = Revision(it.value.revision.number, era)) }
+    }
+
+    /** Stores a record, as if a proxy had written it. */
+    fun put(key: FleetKey, record: FleetRecord) {
+        store[key] = StoredRecord(record, Revision(++revision, era))
+    }
 
     /** Advances the time, in which the proxies read the store once a second. */
     fun advance(millis: Long) {
@@ -158,7 +174,7 @@
             is SessionEffect.SendStatements -> if (serversAnswer) answerStatements(node, effect)
             is SessionEffect.WriteFleet -> write(node, effect)
             is SessionEffect.DeleteFleet -> store.remove(effect.key)
-            is SessionEffect.ReadFleet -> feed(node, SessionEvent.FleetRead(MonotonicTime(now), store.toMap()))
+            is SessionEffect.ReadFleet -> feed(node, fleetRead())
             else -> otherEffects += node to effect
         }
     }
@@ -208,8 +224,8 @@
     private fun write(node: String, effect: SessionEffect.WriteFleet) {
         if (node in writesLost) return
         val matches = store[effect.key]?.revision == effect.expectedRevision
-        if (matches) store[effect.key] = StoredRecord(effect.record, Revision(++revision))
-        val outcome = if (matches) WriteOutcome.Written(Revision(revision)) else WriteOutcome.Conflict
+        if (matches) put(effect.key, effect.record)
+        val outcome = if (matches) WriteOutcome.Written(Revision(revision, era)) else WriteOutcome.Conflict
         feed(node, SessionEvent.FleetWritten(effect.key, outcome))
     }
 
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
@@ -371,7 +371,7 @@
         expectThat(effects<SessionEffect.SelectStoreSource>().map { it.peer }).isEqualTo(listOf(endpoint("node-2")))
         proxy.now += 500
         val records = proxy.records().mapValues { StoredRecord(it.value, Revision(7)) }
-        proxy.feed(SessionEvent.FleetRead(MonotonicTime(10_000), records))
+        proxy.feed(SessionEvent.FleetRead(MonotonicTime(10_000), records, era = 0))
         expectThat(proxy.state.fleet.leaseFrom?.millis).isEqualTo(10_000L)
     }
 }
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/ProxyFixture.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/ProxyFixture.kt
@@ -78,10 +78,10 @@
     }
 
     /** Makes the proxy ready: feeds the configuration, servers and fleet records, and opens the connections. */
-    fun ready(): ProxyFixture {
+    fun ready(era: Long = 0, group: FleetRecord.Group = GROUP_RECORD): ProxyFixture {
         feed(SessionEvent.ConfigurationRead(configuration()))
         feed(SessionEvent.ServersRead(SERVERS.associateBy { it.name }))
-        readFleet()
+        readFleet(records(group, era), era)
         feed(SessionEvent.TimerFired(TimerSubject.GROUPS))
         openAll()
         feed(SessionEvent.TimerFired(TimerSubject.GROUPS))
@@ -89,11 +89,13 @@
         return this
     }
 
-    fun readFleet(records: Map<FleetKey, FleetRecord> = records()) =
-        feed(SessionEvent.FleetRead(MonotonicTime(now), records.mapValues { StoredRecord(it.value, Revision(7)) }))
+    fun readFleet(records: Map<FleetKey, FleetRecord> = records(), era: Long = 0) {
+        val stored = records.mapValues { StoredRecord(it.value, Revision(7, era)) }
+        feed(SessionEvent.FleetRead(MonotonicTime(now), stored, era))
+    }
 
-    fun records(group: FleetRecord.Group = GROUP_RECORD): Map<FleetKey, FleetRecord> =
-        peers.associate { FleetKey.proxy(it.node) to FleetRecord.Proxy(it, endpoint(it.node)) } +
+    fun records(group: FleetRecord.Group = GROUP_RECORD, era: Long = 0): Map<FleetKey, FleetRecord> =
+        peers.associate { FleetKey.proxy(it.node) to FleetRecord.Proxy(it, endpoint(it.node), era = era) } +
             (FleetKey.group(GROUP) to group)
 
     /** Completes the opening of all connections. */
