--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ServerRegistry.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ServerRegistry.kt
@@ -30,7 +30,7 @@
     /** Applies the server entries read from the store; a server without an entry stays until a timeout. */
     fun read(reduction: Reduction, event: SessionEvent.ServersRead) {
         val before = reduction.state.servers
-        val servers = event.servers
+        val servers = event.servers.mapValues { (name, server) -> keepLeaving(before[name]?.server, server) }
         val present =
             servers.mapValues { (name, server) ->
                 val leavingSince = before[name]?.leavingSince ?: reduction.now
@@ -66,6 +66,12 @@
         closeUnheldConnections(reduction, name)
     }
 
+    // A server that is leaving ends. An entry of the same start that reports it as ready is from before a restoration.
+    private fun keepLeaving(before: RegisteredServer?, after: RegisteredServer): RegisteredServer {
+        val isSameStart = before?.startedAtMillis == after.startedAtMillis && before.endpoint == after.endpoint
+        return if (isSameStart && before.leaving) after.copy(leaving = true) else after
+    }
+
     private fun handleMissingEntry(reduction: Reduction, server: RegisteredServer) {
         reduction.log("server entry missing", "server" to server.name, "group" to server.group)
         DepartedReplicas.markMissing(reduction, server)
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/RestoredRecordsTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/RestoredRecordsTest.kt
@@ -231,4 +231,15 @@
         proxy.send(proxy.session(2, SIGN_OFFS), WRITE)
         expectThat(proxy.busyConnection(PRIMARY)).isNull()
     }
+
+    @Test
+    fun `a leaving server stays so when an old entry returns - guards against work for a server that ends`() {
+        proxy.ready()
+        markPrimaryLeaving()
+        proxy.feed(SessionEvent.ServersRead(SERVERS.associateBy { it.name }))
+        expectThat(proxy.state.server(PRIMARY)?.leaving).isEqualTo(true)
+        val restarted = SERVERS.map { if (it.name == PRIMARY) it.copy(startedAtMillis = 2) else it }
+        proxy.feed(SessionEvent.ServersRead(restarted.associateBy { it.name }))
+        expectThat(proxy.state.server(PRIMARY)?.leaving).isEqualTo(false)
+    }
 }
