--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorPromotion.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorPromotion.kt
@@ -69,7 +69,8 @@
             change.reason == ChangeReason.RESTORED && !isComplete -> requestDueStatuses(reduction, group, change)
             newPrimary != null ->
                 ChangePublication.publish(reduction, group, change, newPrimary.key, newPrimary.value.term)
-            incumbent?.role == ServerRole.PRIMARY && !leaving ->
+            // Another server may lead already: the proxy that changed the primary before may have promoted it.
+            incumbent?.role == ServerRole.PRIMARY && !leaving && isComplete ->
                 ChangePublication.keepPrimary(reduction, group, change, incumbent)
             successor != null && isComplete && StoreEras.isSettled(reduction) ->
                 acceptSuccessor(reduction, group, change, successor, incumbent)
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
@@ -218,6 +218,8 @@
         expectThat(paused.map { it.command }).contains(ControlRequest.Pause(2))
         val leading = ServerStatus(ServerRole.PRIMARY, Term(1), Position(Term(1), 10))
         proxy.feed(SessionEvent.ControlAnswered(PRIMARY, ControlRequest.Status, leading))
+        // The primary is kept once the time for the other servers' statuses is over.
+        proxy.advanceTime(700)
         val resumed = proxy.takeEffects().filterIsInstance<SessionEffect.SendControl>()
         expectThat(resumed.filter { it.command == ControlRequest.Resume }.map { it.server.name })
             .isEqualTo(listOf(NEAR_REPLICA, FAR_REPLICA))
@@ -374,4 +376,21 @@
         proxy.feed(SessionEvent.FleetRead(MonotonicTime(10_000), records, era = 0))
         expectThat(proxy.state.fleet.leaseFrom?.millis).isEqualTo(10_000L)
     }
+
+    @Test
+    fun `the primary is not kept while another server may lead - guards against two primaries`() {
+        beginPlannedChange()
+        proxy.readFleet(proxy.records(intent))
+        listOf("node-2", "node-3").forEach { confirmFence(it) }
+        proxy.advanceTime(100)
+        val restarted = SERVERS.map { it.copy(startedAtMillis = 2) }
+        proxy.feed(SessionEvent.ServersRead(restarted.associateBy { it.name }))
+        val old = ServerStatus(ServerRole.PRIMARY, Term(1), Position(Term(1), 10))
+        proxy.feed(SessionEvent.ControlAnswered(PRIMARY, ControlRequest.Status, old))
+        proxy.advanceTime(100)
+        val new = ServerStatus(ServerRole.PRIMARY, Term(2), Position(Term(2), 11))
+        proxy.feed(SessionEvent.ControlAnswered(NEAR_REPLICA, ControlRequest.Status, new))
+        val published = effects<SessionEffect.WriteFleet>().map { it.record }.filterIsInstance<FleetRecord.Group>()
+        expectThat(published.last().primary).isEqualTo(NEAR_REPLICA)
+    }
 }
