--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryChanges.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryChanges.kt
@@ -88,12 +88,12 @@
         ChangeFencing.start(reduction, reduction.group(group.name), change)
     }
 
-    private fun resumeOwnChange(reduction: Reduction, group: GroupView) =
-        ChangeFencing.start(
-            reduction,
-            group,
-            PrimaryChange(ChangeReason.ABANDONED, ChangePhase.RECORDING, reduction.now),
-        )
+    private fun resumeOwnChange(reduction: Reduction, group: GroupView) {
+        // A fence of a later epoch belongs to a change that took this one over; its record is still to be read.
+        val isTakenOver = (group.fence?.epoch ?: 0) > (group.record?.epoch ?: 0)
+        val resumed = PrimaryChange(ChangeReason.ABANDONED, ChangePhase.RECORDING, reduction.now)
+        if (!isTakenOver) ChangeFencing.start(reduction, group, resumed)
+    }
 
     private fun checkRecordingTimeout(reduction: Reduction, group: GroupView, change: PrimaryChange) {
         if (reduction.now - change.phaseSince < reduction.settings.changes.takeoverTimeout) return
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryFencing.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryFencing.kt
@@ -24,12 +24,22 @@
             reduction.emit(SessionEffect.AnswerPeer(number, PeerAnswer.Done))
             return
         }
+        abandonChange(reduction, name, request.epoch)
         fencePrimary(reduction, name, request.epoch, request.planned)
         val group = reduction.group(name)
         group.fence?.let { reduction.put(group.copy(fence = it.copy(waiting = it.waiting.add(number)))) }
         settle(reduction, name)
     }
 
+    // A proxy that fences for a later epoch has taken the change over, and may keep the primary.
+    private fun abandonChange(reduction: Reduction, name: GroupName, epoch: Long) {
+        val group = reduction.group(name)
+        val change = group.change ?: return
+        if (epoch <= (change.intent ?: group.record)?.epoch ?: 0) return
+        reduction.log("primary change taken over", "group" to name, "phase" to change.phase.name, "epoch" to epoch)
+        reduction.put(group.copy(change = null))
+    }
+
     /** Stops the use of the primary that served before [epoch]. */
     fun fencePrimary(reduction: Reduction, name: GroupName, epoch: Long, planned: Boolean) {
         val group = reduction.group(name)
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
@@ -393,4 +393,18 @@
         val published = effects<SessionEffect.WriteFleet>().map { it.record }.filterIsInstance<FleetRecord.Group>()
         expectThat(published.last().primary).isEqualTo(NEAR_REPLICA)
     }
+
+    @Test
+    fun `a change that was taken over promotes nobody - guards against a promotion beside a primary that is kept`() {
+        beginPlannedChange()
+        proxy.readFleet(proxy.records(intent))
+        listOf("node-2", "node-3").forEach { confirmFence(it) }
+        proxy.advanceTime(100)
+        reportStatuses()
+        val takeover = PeerRequest.Fence(GROUP.value, epoch = 3, planned = false)
+        proxy.feed(SessionEvent.PeerAsked(PeerRequestNumber(1), takeover))
+        proxy.feed(SessionEvent.FleetWritten(FleetKey.PROMOTER, WriteOutcome.Written(Revision(31))))
+        proxy.advanceTime(1_000)
+        expectThat(effects<SessionEffect.Promote>()).isEmpty()
+    }
 }
