--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/ProxyFixture.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/ProxyFixture.kt
@@ -151,7 +151,7 @@
         ),
     )
 
-    private fun configuration() =
+    fun configuration() =
         RoutingConfiguration(
             version = 1,
             routes =
