Show acknowledged writes that are lost when a promotion request arrives late

Cause: a proxy whose promotion request has an unknown outcome keeps the old primary when that answers again, although the request may still be carried out.

--- /dev/null
+++ b/review/standins/Platform.java
@@ -0,0 +1,34 @@
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.Executors;
+
+/** A stand-in of the platform's calls for singleton duties: it promotes servers and checks no fencing token. */
+final class Platform {
+    private final HttpServer server;
+
+    Platform(Group group, RunRecord record) throws IOException {
+        server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 50);
+        server.setExecutor(Executors.newCachedThreadPool(Threads.daemon("platform")));
+        server.createContext("/promotion", exchange -> {
+            String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+            String id = Json.text(body, "id");
+            record.line("promotion requested", "server", id,
+                    "holder", exchange.getRequestHeaders().getFirst("Hibiscusreach-Lease-Holder"),
+                    "token", exchange.getRequestHeaders().getFirst("Hibiscusreach-Fencing-Token"));
+            Threads.start("promotion", () -> {
+                Threads.sleep(Timing.PROMOTION_MS);
+                group.promote(id);
+            });
+            exchange.sendResponseHeaders(200, 2);
+            exchange.getResponseBody().write("{}".getBytes(StandardCharsets.UTF_8));
+            exchange.close();
+        });
+        server.start();
+    }
+
+    int port() {
+        return server.getAddress().getPort();
+    }
+}
