--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -24,7 +24,7 @@
         final String node;
         final int callerPort;
         private final int operationsPort;
-        private final Process process;
+        private volatile Process process;
 
         private Proxy(String node, int callerPort, int operationsPort, Process process) {
             this.node = node;
@@ -37,13 +37,6 @@
             return process.pid();
         }
 
-        boolean isAlive() {
-            return process.isAlive();
-        }
-
-        int exitCode() {
-            return process.exitValue();
-        }
 
         /** Whether the proxy answers its readiness probe with 200, in the time that the platform allows. */
         boolean isReady(int timeoutMillis) {
@@ -95,13 +88,27 @@
         String node = "front-" + number;
         Path settings = folder.resolve(node + ".json");
         Files.writeString(settings, settings(node, number, ports, storePort, platformPort));
+        proxies.add(new Proxy(node, ports.get(0), ports.get(1), launch(node)));
+    }
+
+    private Process launch(String node) throws IOException {
         ProcessBuilder builder = new ProcessBuilder(command());
         builder.directory(repository.toFile());
         builder.environment().keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
-        builder.environment().put("HIBISCUSREACH_CONFIG", settings.toString());
+        builder.environment().put("HIBISCUSREACH_CONFIG", folder.resolve(node + ".json").toString());
         File output = folder.resolve(node + ".log").toFile();
-        builder.redirectErrorStream(true).redirectOutput(output);
-        proxies.add(new Proxy(node, ports.get(0), ports.get(1), builder.start()));
+        builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(output));
+        return builder.start();
+    }
+
+    /** Kills the process of [node]. */
+    void kill(String node) {
+        proxies.stream().filter(proxy -> proxy.node.equals(node)).forEach(proxy -> proxy.process.destroyForcibly());
+    }
+
+    /** Starts the process of [node] again with the same settings. */
+    void restart(String node) throws IOException {
+        for (Proxy proxy : proxies) if (proxy.node.equals(node)) proxy.process = launch(node);
     }
 
     /** The log of a proxy so far. */
--- a/review/standins/LatePromotion.java
+++ b/review/standins/LatePromotion.java
@@ -1,9 +1,5 @@
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.List;
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
  * After a planned change of primary, the new primary is cut off from the proxies for five seconds, and the platform's
@@ -19,7 +15,6 @@
     private static final long DRAIN_MS = 7_000;
     private static final long CALM_MS = 3_000;
     private static final long AFTERWARDS_MS = 6_000;
-    private static final long PAUSE_MS = 20;
 
     /** `thaw_ms`: for this long after a disruption of its links, a sender is excused. */
     private static final long EXCUSED_MS = 300;
@@ -32,30 +27,25 @@
         Platform platform = new Platform(group, record);
         Link platformLink = new Link("promotion service", platform.port(), record);
         Deployment.configure(store, "primary");
-        long excusedUntil;
-        Map<String, String> acknowledged = new ConcurrentHashMap<>();
+        long excusedUntil = System.nanoTime();
+        Writers writers = new Writers(record);
         try (Deployment deployment = new Deployment(repository, folder)) {
             if (!deployment.start(PROXIES, store.port(), platformLink.port())) return Main.COULD_NOT_RUN;
-            AtomicBoolean stop = new AtomicBoolean();
-            for (Deployment.Proxy proxy : deployment.proxies) {
-                for (int session = 1; session <= 2; session++) {
-                    String name = proxy.node + "." + session;
-                    Threads.start("caller", () -> write(proxy, name, record, acknowledged, stop));
-                }
-            }
+            writers.start(deployment);
             Threads.sleep(CALM_MS);
-            if (acknowledged.isEmpty()) return Main.COULD_NOT_RUN;
+            if (!writers.haveSucceeded()) return Main.COULD_NOT_RUN;
             DatabaseServer first = group.leader();
             group.replacePrimary(DRAIN_MS);
             Threads.sleep(DRAIN_MS + CALM_MS);
             if (group.leader() == first) return Main.COULD_NOT_RUN;
-            if (trouble) disturb(group.leader().link, platformLink);
-            excusedUntil = System.nanoTime() + EXCUSED_MS * 1_000_000;
+            if (trouble) {
+                disturb(group.leader().link, platformLink);
+                excusedUntil = System.nanoTime() + EXCUSED_MS * 1_000_000;
+            }
             Threads.sleep(AFTERWARDS_MS);
-            stop.set(true);
-            Threads.sleep(1_500);
+            writers.stop();
         }
-        return judge(group, record, acknowledged, trouble ? excusedUntil : 0);
+        return writers.judge(group, excusedUntil);
     }
 
     private static void disturb(Link primaryLink, Link platformLink) {
@@ -68,41 +58,4 @@
         platformLink.heal();
     }
 
-    private static void write(
-            Deployment.Proxy proxy, String name, RunRecord record, Map<String, String> acknowledged, AtomicBoolean stop) {
-        int number = 0;
-        while (!stop.get()) {
-            try (Client client = new Client(proxy.callerPort, Deployment.DATABASE, 4_000)) {
-                while (!stop.get()) {
-                    String query = name + "." + ++number;
-                    record.line("sent", "query", query, "proxy", proxy.node);
-                    Client.Answer answer = client.query(query, "WRITE item" + number % 50 + " data" + number);
-                    record.line("answered", "query", query, "code", answer.code(), "proof", answer.proof());
-                    if (answer.succeeded()) acknowledged.put(query, answer.proof());
-                    Threads.sleep(answer.succeeded() ? PAUSE_MS : 10 * PAUSE_MS);
-                }
-            } catch (IOException failed) {
-                record.line("session ended", "caller", name, "reason", failed.getMessage());
-                Threads.sleep(200);
-            }
-        }
-    }
-
-    private static int judge(Group group, RunRecord record, Map<String, String> acknowledged, long excusedUntil) {
-        List<String> broken = acknowledged.keySet().stream()
-                .filter(query -> record.runs().getOrDefault(query, List.of()).stream()
-                        .anyMatch(run -> run.atReplacedPrimary() && run.nanos() > excusedUntil))
-                .sorted().toList();
-        List<String> kept;
-        synchronized (group) {
-            kept = group.leader().log.stream().map(Group.Entry::query).toList();
-        }
-        long lost = acknowledged.keySet().stream().filter(query -> !kept.contains(query)).count();
-        record.line("result", "acknowledged", acknowledged.size(), "committedAtReplacedPrimary", broken.size(),
-                "acknowledgedButNotInTheLog", lost);
-        broken.forEach(query -> record.line("acknowledged after a promotion took effect", "query", query));
-        System.out.println(acknowledged.size() + " writes acknowledged, " + broken.size()
-                + " of them committed at the old primary after the promotion took effect; " + lost + " are lost");
-        return broken.isEmpty() ? Main.HELD : Main.BROKEN;
-    }
 }
--- a/review/standins/Main.java
+++ b/review/standins/Main.java
@@ -29,6 +29,7 @@
                 case "statement-texts" -> StatementTexts.run(repository, folder, record, trouble);
                 case "configuration-after-freeze" ->
                         ConfigurationAfterFreeze.run(repository, folder, record, trouble);
+                case "changer-killed" -> ChangerKilled.run(repository, folder, record, trouble);
                 case "late-promotion" -> LatePromotion.run(repository, folder, record, trouble);
                 default -> COULD_NOT_RUN;
             };
--- a/review/standins/RunRecord.java
+++ b/review/standins/RunRecord.java
@@ -32,7 +32,7 @@
     void run(String query, String server, String text, String shape, boolean atReplacedPrimary) {
         Run run = new Run(query, server, text, shape, atReplacedPrimary, System.nanoTime());
         runs.computeIfAbsent(query, ignored -> new ArrayList<>()).add(run);
-        line("ran", "query", query, "server", server, "text", text, "shape", shape == null ? "-" : shape,
+        line("ran", "query", query, "server", server, "text", "[" + text + "]", "shape", shape == null ? "-" : shape,
                 "replaced", atReplacedPrimary);
     }
 
--- a/review/standins/StatementTexts.java
+++ b/review/standins/StatementTexts.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** A session writes data that contain a line feed. A server may only run the statements that were sent, unchanged. */
+/** Sessions write data with a line feed inside, or with a blank at the end. Servers may only run what was sent. */
 final class StatementTexts {
     private static final int ROUNDS = 10;
 
@@ -20,33 +20,49 @@
             if (!deployment.start(2, store.port(), platform.port())) return Main.COULD_NOT_RUN;
             Threads.sleep(2_000);
             for (int round = 1; round <= ROUNDS; round++) {
+                int port = deployment.proxies.get(round % 2).callerPort;
                 String separator = trouble ? "\n" : " ";
-                String data = "note" + separator + "QUERY inside." + round + " WRITE item2 data2";
-                write(deployment.proxies.get(round % 2).callerPort, "sent." + round, "WRITE item1 " + data, sent, record);
+                String end = trouble ? " " : "";
+                String inside = "note" + separator + "QUERY inside." + round + " WRITE item2 data2";
+                call(port, "line." + round, null, "WRITE item1 " + inside, sent, record);
+                call(port, "blank." + round, "WRITE q2c", "EXECUTE s1 item3 data3" + end, sent, record);
             }
         }
-        int wrong = 0;
+        return judge(sent, record);
+    }
+
+    private static int judge(Map<String, String> sent, RunRecord record) {
+        int unsent = 0;
+        int changed = 0;
         for (List<RunRecord.Run> runs : record.runs().values()) {
             for (RunRecord.Run run : runs) {
                 String text = sent.get(run.query());
-                if (run.text().equals(text)) continue;
+                if (text == null) unsent++;
+                else if (!withoutName(run.text()).equals(withoutName(text))) changed++;
+                else continue;
                 record.line(text == null ? "ran though no caller sent it" : "ran with changed text",
                         "query", run.query(), "sent", text, "ran", run.text());
-                wrong++;
             }
         }
-        System.out.println(wrong + " statements ran that no caller sent in this form; " + sent.size() + " were sent");
-        return wrong > 0 ? Main.BROKEN : Main.HELD;
+        System.out.println(unsent + " statements ran that no caller sent, and " + changed + " with changed text; "
+                + sent.size() + " were sent");
+        return unsent + changed > 0 ? Main.BROKEN : Main.HELD;
+    }
+
+    // The names of prepared statements may be changed.
+    private static String withoutName(String text) {
+        return text.startsWith("EXECUTE ") ? "EXECUTE " + text.split(" ", 3)[2] : text;
     }
 
-    private static void write(int port, String query, String text, Map<String, String> sent, RunRecord record)
-            throws IOException {
+    private static void call(
+            int port, String query, String prepared, String text, Map<String, String> sent, RunRecord record) {
         try (Client client = new Client(port, Deployment.DATABASE, 5_000)) {
+            if (prepared != null) client.query(query + ".prepare", "PREPARE s1 " + prepared);
             sent.put(query, text);
-            record.line("sent", "query", query, "text", text);
+            record.line("sent", "query", query, "text", "[" + text + "]");
             Client.Answer answer = client.query(query, text);
             record.line("answered", "query", query, "code", answer.code(), "proof", answer.proof());
-            Threads.sleep(200);
+            Threads.sleep(150);
         } catch (IOException failed) {
             record.line("session ended", "query", query, "reason", failed.getMessage());
         }
