--- a/review/standins/ChangerKilled.java
+++ b/review/standins/ChangerKilled.java
@@ -28,7 +28,7 @@
                 if (requested.getAndSet(true)) return;
                 deployment.kill(holder);
                 record.line("process killed", "proxy", holder);
-                primary.link.heal();
+                primary.recover();
                 Threads.sleep(RESTART_DELAY_MS);
                 deployment.restart(holder);
                 record.line("process started again", "proxy", holder);
@@ -38,7 +38,7 @@
             Threads.sleep(CALM_MS);
             if (!writers.haveSucceeded()) return Main.COULD_NOT_RUN;
             if (trouble) {
-                primary.link.cut();
+                primary.crash();
                 long limit = System.nanoTime() + DARK_LIMIT_MS * 1_000_000;
                 while (!requested.get() && System.nanoTime() < limit) Threads.sleep(10);
                 if (!requested.get()) return Main.COULD_NOT_RUN;
--- a/review/standins/Group.java
+++ b/review/standins/Group.java
@@ -111,6 +111,7 @@
             Threads.sleep(5);
             synchronized (this) {
                 DatabaseServer leader = leader();
+                if (leader.dark) continue;
                 for (DatabaseServer server : servers) {
                     if (server != leader && !server.primary && server.term <= leader.term) server.receive(leader);
                 }
@@ -128,7 +129,7 @@
     private void registerAll() {
         List<DatabaseServer> present;
         synchronized (this) {
-            present = List.copyOf(servers);
+            present = servers.stream().filter(server -> !server.dark).toList();
         }
         present.forEach(this::register);
     }
