--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")"
 
-exec java -cp ../../target/review Main statement-texts ../.. record.txt
+exec java -cp ../../target/review Main changer-killed ../.. record.txt
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")"
 
-exec java -cp ../../target/review Main configuration-after-freeze ../.. record.txt
+exec java -cp ../../target/review Main prepared-names ../.. record.txt
