--- a/review/standins/ConfigurationAfterFreeze.java
+++ b/review/standins/ConfigurationAfterFreeze.java
@@ -3,8 +3,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * A host stands still for less than two seconds while the operator writes configurations in quick succession. The last one adds a
- * database. The host has to accept sessions for it once it is in touch again.
+ * A host stands still for less than two seconds while the operator writes configurations in quick succession. The last
+ * one adds a database. The host has to accept sessions for it once it is in touch again.
  */
 final class ConfigurationAfterFreeze {
     private static final int PROXIES = 3;
