Exit with 2 from the scripts of the review when the stand-ins are not built

Cause: the virtual machine exits with 1 when it finds no class, which the scripts passed on as a broken rule. Done: a script passes the result on only if the record has it, and else exits with 2. Measured before: exit 1 without the stand-ins.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,6 +1,17 @@
 #!/usr/bin/env bash
 # Runs the case; the builds of the deploy file and of review/build.sh come first. TROUBLE=0 leaves the disruption out.
-set -euo pipefail
-cd "$(dirname "${BASH_SOURCE[0]}")"
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run to its end.
+set -uo pipefail
+cd "$(dirname "${BASH_SOURCE[0]}")" || exit 2
 
-exec java -cp ../../target/review Main statement-texts ../.. record.txt
+rm -f record.txt
+java -cp ../../target/review Main statement-texts ../.. record.txt &
+program=$!
+# The program ends the processes that it started.
+trap 'kill "$program"; wait "$program"; exit 2' INT TERM
+wait "$program"
+result=$?
+
+# A virtual machine that fails by itself also exits with 1, but leaves no result in the record.
+grep -q "ended exitCode=$result\$" record.txt 2>/dev/null || exit 2
+exit "$result"
