Keep a primary only while no requested promotion can take effect

Cause: nothing remembered that a promotion had been requested. A request with an unknown outcome counted as ended, and a proxy that took a change over knew nothing of the request, so an old primary that answered again was kept while its replacement was on the way.

Change: the group's record names the successor before its promotion is requested, by a write that is conditional on the record's revision. While that promotion may take effect, the primary is not kept and no other server is chosen; the same request is repeated, which has no effect on a server that leads. A server that leads meanwhile is published also while another proxy holds the promoter lock.

Tests that waited for the request of the promoter lock now confirm the write of the successor first; what they check is the same.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/FleetRecords.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/FleetRecords.kt
@@ -34,6 +34,11 @@
         val floor: Position? = null,
         /** Number of the store's era in which the record was written. */
         val era: Long = 0,
+        /**
+         * The server whose promotion is requested in the change; written before the request is sent. Its promotion may
+         * take effect at any time, also after another proxy has taken the change over.
+         */
+        val successor: ServerName? = null,
     ) : FleetRecord
 
     /** A running proxy. It renews its lease on primaries only while this record exists and is not [expelled]. */
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupRecordAdoption.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupRecordAdoption.kt
@@ -17,7 +17,8 @@
         val known = group.record
         val newer =
             known == null || record.epoch > known.epoch ||
-                record.epoch == known.epoch && completesOrConfirms(known, record)
+                record.epoch == known.epoch &&
+                (completesOrConfirms(known, record) || namesSuccessor(group, known, record, revision))
         if (!newer) return
         reduction.log(
             "group record",
@@ -26,11 +27,12 @@
             "term" to record.term,
             "primary" to record.primary,
             "changedBy" to record.changedBy?.node,
+            "successor" to record.successor,
             "revision" to revision,
         )
         val current =
             group.copy(
-                record = record,
+                record = withKnownSuccessor(known, record),
                 revision = revision,
                 adoptedAt = reduction.now,
                 verified = record.era >= StoreEras.current(reduction),
@@ -53,6 +55,22 @@
         return completes || record.era > known.era && !reopens
     }
 
+    private fun namesSuccessor(
+        group: GroupView,
+        known: FleetRecord.Group,
+        record: FleetRecord.Group,
+        revision: Revision,
+    ): Boolean {
+        val isSameChange = record.changedBy != null && record.changedBy == known.changedBy
+        return isSameChange && record.successor != known.successor && revision > group.revision
+    }
+
+    // A restored store may lack the successor, whose promotion may have been requested all the same.
+    private fun withKnownSuccessor(known: FleetRecord.Group?, record: FleetRecord.Group): FleetRecord.Group {
+        val isSameChange = record.changedBy != null && record.epoch == known?.epoch
+        return if (isSameChange) record.copy(successor = record.successor ?: known?.successor) else record
+    }
+
     private fun adoptStable(reduction: Reduction, group: GroupView, record: FleetRecord.Group) {
         val fence = group.fence?.takeIf { it.epoch > record.epoch }
         reduction.put(group.copy(fence = fence, change = null))
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryChanges.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryChanges.kt
@@ -14,8 +14,8 @@
 
 /**
  * Replaces primaries. The proxy first records its intent in the store, then waits until every proxy has confirmed the
- * fence or its lease has expired, and then chooses, promotes and records the successor. A proxy that takes over the
- * change of another one records an intent of its own first, so that the other proxy stops.
+ * fence or its lease has expired, and then chooses, records, promotes and publishes the successor. A proxy that takes
+ * over the change of another one records an intent of its own first, so that the other proxy stops.
  */
 internal object PrimaryChanges {
     /** Starts a change of primary by writing the intent to the store. */
@@ -52,6 +52,8 @@
         when {
             outcome !is WriteOutcome.Written -> LeaseRenewal.read(reduction)
             change?.phase == ChangePhase.RECORDING -> startFencing(reduction, group, change, outcome.revision)
+            change?.phase == ChangePhase.RECORDING_SUCCESSOR ->
+                SuccessorRecording.handleWritten(reduction, group, change, outcome.revision)
             change?.phase == ChangePhase.PUBLISHING -> complete(reduction, group, change, outcome.revision)
             // The first record of a group, or a write of an earlier change.
             else -> LeaseRenewal.read(reduction)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PromoterLocking.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PromoterLocking.kt
@@ -16,18 +16,25 @@
  * of the promoter's record, so it increases with every holder.
  */
 internal object PromoterLocking {
-    /** Requests the lock, or reads the store again while another proxy holds it. */
+    /**
+     * Requests the lock, or reads the store again while another proxy holds it. If a server leads by an earlier
+     * request, the lock is not needed.
+     */
     fun advance(reduction: Reduction, group: GroupView, change: PrimaryChange) {
         val fleet = reduction.state.fleet
+        val newPrimary = group.record?.let { SuccessorChoice.findNewPrimary(it, change) }
         val stored = fleet.records[FleetKey.PROMOTER]
         val holder = (stored?.record as? FleetRecord.Promoter)?.holder
         val stale =
             fleet.promoterSeenAt?.let { reduction.now - it > reduction.settings.changes.promoterLockTakeover } ?: false
         val available = holder == null || holder.node == reduction.state.self.identity.node || stale
         when {
+            newPrimary != null ->
+                ChangePublication.publish(reduction, group, change, newPrimary.key, newPrimary.value.term)
             !PrimaryChanges.areRequestsDue(reduction, change) -> Unit
             !available -> {
-                reduction.put(group.copy(change = change.copy(requestsSentAt = reduction.now)))
+                // The holder may have requested the promotion of the same successor.
+                SuccessorChoice.requestStatuses(reduction, group)
                 LeaseRenewal.read(reduction)
             }
             else -> {
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorPromotion.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorPromotion.kt
@@ -4,7 +4,6 @@
 import dev.hibiscusreach.core.event.ServerRole
 import dev.hibiscusreach.core.model.ServerName
 import dev.hibiscusreach.sessions.event.SessionEvent
-import dev.hibiscusreach.sessions.model.FleetRecord
 import dev.hibiscusreach.sessions.model.ServerStatus
 import dev.hibiscusreach.sessions.state.ChangePhase
 import dev.hibiscusreach.sessions.state.ChangeReason
@@ -30,6 +29,7 @@
         when (change.phase) {
             ChangePhase.INSPECTING -> checkStatuses(reduction, group, change)
             ChangePhase.CATCHING_UP -> checkCatchUp(reduction, group, change)
+            ChangePhase.RECORDING_SUCCESSOR -> SuccessorRecording.advance(reduction, group, change)
             ChangePhase.ACQUIRING -> PromoterLocking.advance(reduction, group, change)
             ChangePhase.PROMOTING ->
                 if (elapsed > reduction.settings.changes.promotionTimeout) {
@@ -57,20 +57,18 @@
 
     private fun checkStatuses(reduction: Reduction, group: GroupView, change: PrimaryChange) {
         val record = group.record ?: return
-        val newPrimary =
-            change.statuses.entries.filter { isNewPrimary(record, it.key, it.value) }.maxByOrNull { it.value.term }
+        val newPrimary = SuccessorChoice.findNewPrimary(record, change)
         val incumbent = change.statuses[record.primary]
         val elapsed = reduction.now - change.phaseSince
         val allReported = reduction.servers(group.name).all { it.name in change.statuses }
         val isComplete = allReported || elapsed > reduction.settings.changes.statusTimeout
-        val leaving = reduction.state.server(record.primary)?.leaving ?: true
         val successor = SuccessorChoice.findSuccessor(reduction, group, change)
         when {
             change.reason == ChangeReason.RESTORED && !isComplete -> requestDueStatuses(reduction, group, change)
+            // Another server may lead already: the proxy that changed the primary before may have promoted it.
             newPrimary != null ->
                 ChangePublication.publish(reduction, group, change, newPrimary.key, newPrimary.value.term)
-            // Another server may lead already: the proxy that changed the primary before may have promoted it.
-            incumbent?.role == ServerRole.PRIMARY && !leaving && isComplete ->
+            incumbent != null && isComplete && mayKeepPrimary(reduction, group, change, incumbent) ->
                 ChangePublication.keepPrimary(reduction, group, change, incumbent)
             successor != null && isComplete && StoreEras.isSettled(reduction) ->
                 acceptSuccessor(reduction, group, change, successor, incumbent)
@@ -82,11 +80,16 @@
         if (PrimaryChanges.areRequestsDue(reduction, change)) SuccessorChoice.requestStatuses(reduction, group)
     }
 
-    // A term has only one primary, so another server that leads in the recorded term is the old primary with its log
-    // under a new name.
-    private fun isNewPrimary(record: FleetRecord.Group, server: ServerName, status: ServerStatus): Boolean {
-        val isOther = status.term > record.term || status.term == record.term && server != record.primary
-        return status.role == ServerRole.PRIMARY && isOther
+    // A promotion that was requested may still replace the primary.
+    private fun mayKeepPrimary(
+        reduction: Reduction,
+        group: GroupView,
+        change: PrimaryChange,
+        incumbent: ServerStatus,
+    ): Boolean {
+        val isStaying = group.record?.let { reduction.state.server(it.primary) }?.leaving == false
+        val mayBeReplaced = SuccessorRecording.outstanding(reduction, group, change) != null
+        return incumbent.role == ServerRole.PRIMARY && isStaying && !mayBeReplaced
     }
 
     private fun acceptSuccessor(
@@ -105,23 +108,30 @@
             "successor" to successor,
             "received" to change.statuses[successor]?.received,
             "incumbent" to incumbent?.received,
+            "requestedBefore" to SuccessorRecording.outstanding(reduction, group, change),
         )
-        val phase =
-            if (SuccessorChoice.isIncumbentReporting(group, change)) ChangePhase.CATCHING_UP else ChangePhase.ACQUIRING
-        val next = PrimaryChanges.enterPhase(reduction, group, chosen, phase)
-        next.change?.let { advance(reduction, next, it) }
+        if (SuccessorChoice.isIncumbentReporting(group, change)) {
+            val next = PrimaryChanges.enterPhase(reduction, group, chosen, ChangePhase.CATCHING_UP)
+            next.change?.let { advance(reduction, next, it) }
+        } else {
+            SuccessorRecording.start(reduction, group, chosen)
+        }
     }
 
     private fun checkCatchUp(reduction: Reduction, group: GroupView, change: PrimaryChange) {
         val successor = change.successor ?: return
-        val incumbent = group.record?.primary ?: return
+        val record = group.record ?: return
+        val newPrimary = SuccessorChoice.findNewPrimary(record, change)
         val received = change.statuses[successor]?.received
-        val incumbentReceived = change.statuses[incumbent]?.received
+        val incumbent = change.statuses[record.primary]
+        val isLate = reduction.now - change.phaseSince > reduction.settings.changes.catchUpTimeout
+        val mayBeReplaced = SuccessorRecording.outstanding(reduction, group, change) != null
         when {
-            received != null && incumbentReceived != null && received >= incumbentReceived ->
-                PrimaryChanges.enterPhase(reduction, group, change, ChangePhase.ACQUIRING)
-            reduction.now - change.phaseSince > reduction.settings.changes.catchUpTimeout ->
-                change.statuses[incumbent]?.let { ChangePublication.keepPrimary(reduction, group, change, it) }
+            newPrimary != null ->
+                ChangePublication.publish(reduction, group, change, newPrimary.key, newPrimary.value.term)
+            received != null && incumbent != null && received >= incumbent.received || isLate && mayBeReplaced ->
+                SuccessorRecording.start(reduction, group, change)
+            isLate -> incumbent?.let { ChangePublication.keepPrimary(reduction, group, change, it) }
             isPollDue(reduction, change) -> SuccessorChoice.requestStatuses(reduction, group)
         }
     }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/GroupView.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/GroupView.kt
@@ -110,4 +110,14 @@
 data class PromoterLock(val token: Long, val requestedAt: MonotonicTime)
 
 /** Phases of a [PrimaryChange] in their usual order. */
-enum class ChangePhase { RECORDING, FENCING, INSPECTING, CATCHING_UP, ACQUIRING, PROMOTING, CONFIRMING, PUBLISHING }
+enum class ChangePhase {
+    RECORDING,
+    FENCING,
+    INSPECTING,
+    CATCHING_UP,
+    RECORDING_SUCCESSOR,
+    ACQUIRING,
+    PROMOTING,
+    CONFIRMING,
+    PUBLISHING,
+}
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
@@ -78,9 +78,14 @@
         listOf("node-2", "node-3").forEach { confirmFence(it) }
         proxy.advanceTime(100)
         reportStatuses()
+        proxy.confirmSuccessorRecord()
         proxy.feed(SessionEvent.FleetWritten(FleetKey.PROMOTER, WriteOutcome.Written(Revision(31))))
     }
 
+    /** Confirms the write that names the successor, which comes before the request of the promoter lock. */
+    private fun ProxyFixture.confirmSuccessorRecord() =
+        feed(SessionEvent.FleetWritten(FleetKey.group(GROUP), WriteOutcome.Written(Revision(21))))
+
     @Test
     fun `no successor is chosen before every proxy has confirmed the fence - guards against two primaries`() {
         beginPlannedChange()
@@ -240,6 +245,7 @@
             proxy.feed(SessionEvent.ControlAnswered(name, ControlRequest.Status, status))
         }
         proxy.advanceTime(700)
+        proxy.confirmSuccessorRecord()
         val written = proxy.takeEffects().filterIsInstance<SessionEffect.WriteFleet>().map { it.key }
         expectThat(written).contains(FleetKey.PROMOTER)
     }
@@ -260,8 +266,10 @@
         syncProxy.advanceTime(1_400)
     }
 
-    private fun requestsPromoterLock() =
-        syncProxy.takeEffects().filterIsInstance<SessionEffect.WriteFleet>().any { it.key == FleetKey.PROMOTER }
+    private fun requestsPromoterLock(): Boolean {
+        syncProxy.confirmSuccessorRecord()
+        return syncProxy.takeEffects().filterIsInstance<SessionEffect.WriteFleet>().any { it.key == FleetKey.PROMOTER }
+    }
 
     private fun removeFarReplica() =
         syncProxy.feed(SessionEvent.ServersRead(SERVERS.filter { it.name != FAR_REPLICA }.associateBy { it.name }))
@@ -401,6 +409,7 @@
         listOf("node-2", "node-3").forEach { confirmFence(it) }
         proxy.advanceTime(100)
         reportStatuses()
+        proxy.confirmSuccessorRecord()
         val takeover = PeerRequest.Fence(GROUP.value, epoch = 3, planned = false)
         proxy.feed(SessionEvent.PeerAsked(PeerRequestNumber(1), takeover))
         proxy.feed(SessionEvent.FleetWritten(FleetKey.PROMOTER, WriteOutcome.Written(Revision(31))))
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/RestoredRecordsTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/RestoredRecordsTest.kt
@@ -41,7 +41,11 @@
 
     private inline fun <reified T : SessionEffect> effects(): List<T> = proxy.takeEffects().filterIsInstance<T>()
 
-    private fun promoterWrites() = effects<SessionEffect.WriteFleet>().filter { it.key == FleetKey.PROMOTER }
+    /** The requests of the promoter lock, which follow the record of the chosen successor. */
+    private fun promoterWrites(era: Long = 1): List<SessionEffect.WriteFleet> {
+        proxy.feed(SessionEvent.FleetWritten(key, WriteOutcome.Written(Revision(21, era))))
+        return effects<SessionEffect.WriteFleet>().filter { it.key == FleetKey.PROMOTER }
+    }
 
     private fun markPrimaryLeaving() {
         val leaving = SERVERS.map { if (it.name == PRIMARY) it.copy(leaving = true) else it }
@@ -153,6 +157,7 @@
         proxy.readFleet(proxy.records(GROUP_RECORD.copy(era = 1), era = 1) + settled, era = 1)
         replacePrimary(era = 1, settled)
         expectThat(proxy.state.groups.getValue(GROUP).record).isNotNull().get { epoch }.isGreaterThan(1_000)
+        expectThat(promoterWrites()).isNotEmpty()
         proxy.feed(SessionEvent.FleetWritten(FleetKey.PROMOTER, WriteOutcome.Written(Revision(3, era = 1))))
         expectThat(effects<SessionEffect.Promote>().single().fencingToken).isGreaterThan(Revision(31).ordinal)
     }
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/simulation/RandomRestorationsTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/simulation/RandomRestorationsTest.kt
@@ -108,11 +108,15 @@
         }
 
     private fun seeds(): List<Long> =
-        replayed?.let { listOf(it) } ?: (1L..Integer.getInteger("restoration.seeds", DEFAULT_SEEDS)).toList()
+        replayed?.let { listOf(it) }
+            ?: ((1L..Integer.getInteger("restoration.seeds", DEFAULT_SEEDS)) + REGRESSIONS).distinct()
 
     private companion object {
         const val PROXIES = 4
         const val DEFAULT_SEEDS = 40
+
+        /** 110: a proxy requests a promotion, and the one that takes its change over keeps the old primary. */
+        val REGRESSIONS = listOf(110L)
         const val FAULT_STEPS = 12
         const val FAULT_KINDS = 6
         const val START_MILLIS = 4_000L
