Answer or refuse every request when a proxy stops

What callers saw: on SIGTERM of a proxy, requests on open connections ended without an answer (LOST), some after a server had run them.

Cause: a session counted as idle as soon as a check found it without a statement, and was closed while its next statement was on the way. A session that sends one statement after the other is never idle at a check; it was served until the exit, which cut what was in progress.

Change: a session is closed as idle 250 ms after it was accepted or answered. From 3.5 s on, statements and sessions are refused as not run, and a transaction is ended before its next statement. What is pending at the exit is answered.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ForwardedArrivals.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ForwardedArrivals.kt
@@ -95,6 +95,7 @@
         return Session(
             number = event.session,
             database = route.database,
+            idleSince = reduction.now,
             lastCommit = statement.lastCommit?.let { CommitPosition(route.group, it) },
             transaction = transaction,
             forwardedRoute = route,
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionDraining.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionDraining.kt
@@ -1,7 +1,9 @@
 package dev.hibiscusreach.sessions.part
 
+import dev.hibiscusreach.core.model.ErrorKind
 import dev.hibiscusreach.sessions.event.SessionEffect
 import dev.hibiscusreach.sessions.model.FleetKey
+import dev.hibiscusreach.sessions.state.PendingStatement.Phase
 import dev.hibiscusreach.sessions.state.Session
 import dev.hibiscusreach.sessions.state.Transaction
 
@@ -36,7 +38,8 @@
 
     private fun closeIdleSessions(reduction: Reduction) {
         val idle = reduction.state.sessions.values.filter { it.pending == null }
-        idle.filter { it.transaction is Transaction.None }.forEach { close(reduction, it) }
+        val idleSince = reduction.now - reduction.settings.drain.idleTime
+        idle.filter { it.transaction is Transaction.None && it.idleSince <= idleSince }.forEach { close(reduction, it) }
         // The peer hears of the end of its transaction with its next statement.
         idle.filter { it.isForwarded && it.transaction is Transaction.Aborted }.forEach { reduction.remove(it) }
     }
@@ -46,15 +49,33 @@
             .mapNotNull { reduction.session(it) }
             .filter { it.pending == null }
             .forEach { session ->
-                StatementDeadlines.endTransaction(reduction, session, "the proxy is stopping")
+                StatementDeadlines.endTransaction(reduction, session, LateArrivals.STOPPING)
             }
 
-    private fun close(reduction: Reduction, session: Session) {
+    /** Closes the session of a caller. */
+    fun close(reduction: Reduction, session: Session) {
         reduction.remove(session)
         reduction.emit(SessionEffect.CloseSession(session.number))
     }
 
+    // Answers of servers and homes that arrive from now on are not sent any more.
+    private fun answerPending(reduction: Reduction) {
+        val reason = LateArrivals.STOPPING
+        for (session in reduction.state.active.mapNotNull { reduction.session(it) }) {
+            val pending = session.pending
+            val hasNotRun = pending?.phase is Phase.Waiting || pending?.phase is Phase.Beginning
+            when {
+                pending == null -> Unit
+                hasNotRun -> StatementFailures.refuse(reduction, session, pending, ErrorKind.DRAINING, reason)
+                else -> StatementDeadlines.answerExpired(reduction, session, pending, reason)
+            }
+        }
+    }
+
     private fun exit(reduction: Reduction) {
+        answerPending(reduction)
+        stopListening(reduction)
+        reduction.state.sessions.values.filter { !it.isForwarded }.forEach { close(reduction, it) }
         val key = FleetKey.proxy(reduction.state.self.identity.node)
         val ownRecord = reduction.state.fleet.records[key]
         if (ownRecord != null) reduction.emit(SessionEffect.DeleteFleet(key, ownRecord.revision))
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionLifecycle.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionLifecycle.kt
@@ -42,12 +42,18 @@
 
     private fun acceptOrRefuse(reduction: Reduction, session: SessionNumber, database: DatabaseName) {
         val configuration = reduction.state.configuration
-        if (configuration?.routes?.containsKey(database) == true) {
-            reduction.put(Session(session, database))
+        val isRefusing = LateArrivals.isRefusing(reduction)
+        if (!isRefusing && configuration?.routes?.containsKey(database) == true) {
+            reduction.put(Session(session, database, idleSince = reduction.now))
             reduction.emit(SessionEffect.AcceptSession(session))
             return
         }
-        val kind = if (configuration == null) ErrorKind.NO_CONFIGURATION else ErrorKind.UNKNOWN_DATABASE
+        val kind =
+            when {
+                isRefusing -> ErrorKind.DRAINING
+                configuration == null -> ErrorKind.NO_CONFIGURATION
+                else -> ErrorKind.UNKNOWN_DATABASE
+            }
         reduction.log(
             "session refused",
             "session" to session.value,
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionReplies.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionReplies.kt
@@ -30,7 +30,7 @@
 
     /** Answers the pending statement of [session]; [session] is already in its state after the answer. */
     fun answerPending(reduction: Reduction, session: Session, pending: PendingStatement, reply: SessionReply) {
-        reduction.put(session.copy(pending = null))
+        reduction.put(session.copy(pending = null, idleSince = reduction.now))
         val duration = reduction.now - pending.arrivedAt
         logPending(reduction, session, pending, reply)
         reduction.count(SessionCounter.STATEMENTS, outcome(reply))
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/StatementArrivals.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/StatementArrivals.kt
@@ -15,7 +15,9 @@
 internal object StatementArrivals {
     /** Answers or dispatches a statement according to the state of the session's transaction. */
     fun statementArrived(reduction: Reduction, event: SessionEvent.StatementArrived) {
-        val session = reduction.session(event.session) ?: return
+        val arrived = reduction.session(event.session) ?: return
+        val isRefusing = LateArrivals.isRefusing(reduction)
+        val session = if (isRefusing) LateArrivals.withoutTransaction(reduction, arrived) else arrived
         when (val transaction = session.transaction) {
             is Transaction.Aborted -> answerAborted(reduction, session, event, transaction)
             Transaction.Failed -> answerFailed(reduction, session, event)
@@ -114,6 +116,8 @@
                 val reason = "a transaction is already open"
                 answerLocally(reduction, session, event, refused(ErrorKind.MALFORMED_REQUEST, reason, status))
             }
+            LateArrivals.isRefusing(reduction) ->
+                LateArrivals.refuseStatement(reduction, session, event.identifier)
             route == null ->
                 answerLocally(
                     reduction,
@@ -148,7 +152,9 @@
                 is Transaction.Remote -> transaction.begun.route
                 else -> session.forwardedRoute ?: reduction.state.configuration?.routes?.get(session.database)
             }
-        if (route == null) {
+        if (LateArrivals.isRefusing(reduction)) {
+            LateArrivals.refuseStatement(reduction, session, event.identifier)
+        } else if (route == null) {
             val status = session.transaction.status
             val reason = "no such database"
             answerLocally(reduction, session, event, refused(ErrorKind.UNKNOWN_DATABASE, reason, status))
@@ -167,7 +173,7 @@
         event: SessionEvent.StatementArrived,
         reply: SessionReply,
     ) {
-        reduction.put(session)
+        reduction.put(session.copy(idleSince = reduction.now))
         SessionReplies.answerLocally(reduction, session, event.identifier, reply)
     }
 
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/Session.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/Session.kt
@@ -21,6 +21,8 @@
 data class Session(
     val number: SessionNumber,
     val database: DatabaseName,
+    /** When the session was accepted or its latest statement was answered. */
+    val idleSince: MonotonicTime,
     val values: PersistentMap<String, String> = persistentMapOf(),
     val prepared: PersistentMap<String, PreparedStatement> = persistentMapOf(),
     /** The session's latest commit; reads with read-your-writes consistency must see it. */
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
@@ -178,10 +178,20 @@
 data class DrainSettings(
     /** Idle sessions are closed after this long, which leaves the load balancer time to notice the shutdown. */
     val closeIdleAfter: Millis = 2300.milliseconds,
+    /**
+     * A session counts as idle after this long without a statement. Longer than a round trip to a caller, whose next
+     * statement would otherwise meet the closed connection.
+     */
+    val idleTime: Millis = 250.milliseconds,
     /** The process exits no earlier than this after it stopped listening, so that sessions accepted last are served. */
     val exitDelay: Millis = 200.milliseconds,
     /** Open transactions are ended after this long. */
     val endTransactionsAfter: Millis = 3500.milliseconds,
+    /**
+     * Statements and sessions that arrive after this long are refused, so that what was accepted before is answered by
+     * the exit. Longer before [exitAfter] than most statements take.
+     */
+    val refuseAfter: Millis = 3500.milliseconds,
     /** The process exits after this long at the latest. */
     val exitAfter: Millis = 5300.milliseconds,
 )
