Reproduce the requests that are lost in overlapping stops

Nine proxies as processes stop in overlapping series while their callers keep using open connections.

--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/processes/ChildProcesses.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/processes/ChildProcesses.kt
@@ -2,20 +2,25 @@
 
 import java.io.File
 import java.nio.file.Path
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 
-/** The processes that a test has started. They write to files in [folder]; closing ends exactly these processes. */
-internal class ChildProcesses(private val folder: Path) : AutoCloseable {
-    private val processes = mutableMapOf<String, Process>()
+/**
+ * The processes that a test has started. They write to files in [folder]; closing ends exactly these processes. They run
+ * the classes of this test unless [classPath] names others.
+ */
+internal class ChildProcesses(private val folder: Path, classPath: String? = null) : AutoCloseable {
+    private val processes = ConcurrentHashMap<String, Process>()
+    private val classPath = classPath ?: System.getProperty("java.class.path")
 
     // Ends the processes also if the tests are interrupted.
     private val hook = Thread { processes.values.forEach { it.destroyForcibly() } }.also(
         Runtime.getRuntime()::addShutdownHook
     )
 
-    /** Starts a program of this test's class path under [name]. */
+    /** Starts a program under [name]. */
     fun start(name: String, program: Program, arguments: List<String>): Process {
-        val command = listOf(JAVA) + program.options + listOf("-cp", CLASS_PATH, program.mainClass) + arguments
+        val command = listOf(JAVA) + program.options + listOf("-cp", classPath, program.mainClass) + arguments
         val process =
             ProcessBuilder(command)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(output(name)))
@@ -64,7 +69,6 @@
         const val RUN_SECONDS = 60L
         const val END_SECONDS = 5L
         val JAVA: String = Path.of(System.getProperty("java.home"), "bin", "java").toString()
-        val CLASS_PATH: String = System.getProperty("java.class.path")
     }
 }
 
@@ -74,6 +78,7 @@
 /** A main class with small options, so that a whole fleet fits on a developer's machine. */
 internal enum class Program(val mainClass: String, heap: String) {
     HIBISCUSREACH("dev.hibiscusreach.daemon.MainKt", heap = "96m"),
+    PLATFORM_PROXY("dev.hibiscusreach.platform.MainKt", heap = "64m"),
     STANDINS("dev.hibiscusreach.standins.command.MainKt", heap = "128m"),
     ;
 
--- /dev/null
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/ProxyFleet.kt
@@ -0,0 +1,86 @@
+package dev.hibiscusreach.systemtests.stops
+
+import dev.hibiscusreach.platform.StoreStandIn
+import dev.hibiscusreach.systemtests.processes.ChildProcesses
+import dev.hibiscusreach.systemtests.processes.FreePorts
+import dev.hibiscusreach.systemtests.processes.Program
+import dev.hibiscusreach.systemtests.processes.awaitTrue
+import java.io.IOException
+import java.net.HttpURLConnection
+import java.net.URI
+import java.nio.file.Path
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+import kotlin.io.path.writeText
+
+/** Proxies of the users' platform, each a process of its own in one failure domain, on a store that stands in. */
+internal class ProxyFleet(private val folder: Path, count: Int, classPath: String?) : AutoCloseable {
+    private class Proxy(val node: String, val ports: List<Int>)
+
+    val store = StoreStandIn()
+    private val processes = ChildProcesses(folder, classPath)
+    private val proxies = List(count) { Proxy("front-${it + 1}", FreePorts.choose(PORTS)) }.associateBy { it.node }
+    private val running = ConcurrentHashMap<String, Process>()
+
+    val nodes: Set<String> get() = proxies.keys
+
+    /** The processes that were started last, by node. */
+    val processNumbers: Map<String, Long> get() = running.mapValues { it.value.pid() }
+
+    /** Starts all proxies and waits until they are ready. */
+    fun start() {
+        nodes.forEach(::start)
+        awaitTrue("all proxies are ready", START_SECONDS) { nodes.all(::isReady) }
+    }
+
+    /** Starts the process of [node]. */
+    fun start(node: String) {
+        val settings = folder.resolve("$node.json")
+        settings.writeText(settings(proxies.getValue(node)))
+        running[node] = processes.start(node, Program.PLATFORM_PROXY, listOf("--settings", settings.toString()))
+    }
+
+    fun signal(node: String, signal: String) = processes.signal(node, signal)
+
+    /** Whether the process of [node] ends within [seconds]. */
+    fun awaitEnd(node: String, seconds: Long): Boolean = running.getValue(node).waitFor(seconds, TimeUnit.SECONDS)
+
+    fun kill(node: String) = processes.kill(node)
+
+    fun isAlive(node: String): Boolean = running.getValue(node).isAlive
+
+    fun callerPort(node: String): Int = proxies.getValue(node).ports.first()
+
+    /** Whether the proxy answers its readiness check. */
+    fun isReady(node: String): Boolean {
+        val address = URI("http://127.0.0.1:${proxies.getValue(node).ports[1]}/ready").toURL()
+        return try {
+            val connection = address.openConnection() as HttpURLConnection
+            connection.connectTimeout = CHECK_MILLIS
+            connection.readTimeout = CHECK_MILLIS
+            connection.responseCode == HttpURLConnection.HTTP_OK
+        } catch (_: IOException) {
+            false
+        }
+    }
+
+    override fun close() {
+        processes.close()
+        store.close()
+    }
+
+    private fun settings(proxy: Proxy): String {
+        val (caller, operations, peer) = proxy.ports.map { "127.0.0.1:$it" }
+        return """
+            {"node":"${proxy.node}","failureDomain":"yard","regions":{"yard":"west"},"callerAddress":"$caller",
+            "operationsAddress":"$operations","peerAddress":"$peer","storeAddress":"${store.endpoint}",
+            "promotionAddress":"${store.endpoint}","descriptorLimit":4300}
+        """.trimIndent()
+    }
+
+    private companion object {
+        const val PORTS = 3
+        const val START_SECONDS = 60
+        const val CHECK_MILLIS = 1_000
+    }
+}
--- /dev/null
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/StatementLedger.kt
@@ -0,0 +1,57 @@
+package dev.hibiscusreach.systemtests.stops
+
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.Future
+
+/** A statement that a caller has sent to the proxy [node]. Times are of [System.nanoTime]. */
+internal class SentStatement(
+    val identifier: String,
+    val text: String,
+    val node: String,
+    val style: CallerStyle,
+    val sentAt: Long,
+) {
+    @Volatile
+    var outcome: StatementOutcome = StatementOutcome.Open
+}
+
+/** What a caller knows of a statement. */
+internal sealed interface StatementOutcome {
+    /** The caller waits for the answer. */
+    data object Open : StatementOutcome
+
+    /** The answer was complete; [code] is null after a success. */
+    data class Answered(val code: String?, val proof: String?) : StatementOutcome
+
+    /** The connection ended at [endedAt] without a complete answer. */
+    data class Unanswered(val endedAt: Long) : StatementOutcome
+}
+
+/** A run of a statement at [server], which the host [owner] of the connection sent there. */
+internal data class StatementRun(val server: String, val owner: Future<String>)
+
+/** What callers and servers have seen of each statement. */
+internal class StatementLedger {
+    private val sent = ConcurrentLinkedQueue<SentStatement>()
+    private val runs = ConcurrentHashMap<String, List<StatementRun>>()
+    private val commits = ConcurrentHashMap<String, Int>()
+
+    val statements: List<SentStatement> get() = sent.toList()
+
+    fun add(statement: SentStatement) = sent.add(statement)
+
+    /** Records that a server got the statement. */
+    fun ran(identifier: String, run: StatementRun) {
+        runs.merge(identifier, listOf(run)) { before, added -> before + added }
+    }
+
+    /** Records that the write [identifier] took effect. */
+    fun committed(identifier: String) {
+        commits.merge(identifier, 1, Int::plus)
+    }
+
+    fun runsOf(identifier: String): List<StatementRun> = runs[identifier].orEmpty()
+
+    fun commitsOf(identifier: String): Int = commits[identifier] ?: 0
+}
--- /dev/null
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/StopSoak.kt
@@ -0,0 +1,94 @@
+package dev.hibiscusreach.systemtests.stops
+
+import java.nio.file.Path
+import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
+import kotlin.io.path.createDirectories
+import kotlin.random.Random
+
+/** What a run does. The seed decides the schedule of the stops and changes and what callers send. */
+internal data class StopSoakOptions(
+    val seed: Long,
+    val processes: Int = 9,
+    val seconds: Long = 45,
+    val workload: Workload = Workload.SOME_SLOW,
+    val statementTimeoutMillis: Long = if (seed % 2 == 0L) 8_000 else 1_000,
+    /** Class path of another build of the proxy; null for the one under test. */
+    val classPath: String? = null,
+)
+
+/** The result of a run: how much was sent, and one line for each broken promise. */
+internal data class StopSoakReport(val statements: Int, val stops: Int, val findings: List<String>)
+
+/** A run of proxies as processes, whose callers use open connections until the process is gone. */
+internal class StopSoak(private val options: StopSoakOptions, private val folder: Path) {
+    private val ledger = StatementLedger()
+    private val stops = StopLog()
+    private val random = Random(options.seed)
+
+    /** Plays the run and checks what callers and servers have seen. */
+    fun run(): StopSoakReport {
+        ProxyFleet(folder.createDirectories(), options.processes, options.classPath).use { fleet ->
+            ConnectionOwners { fleet.processNumbers }.use { owners ->
+                LineServerGroup(options.workload, ledger, owners).use { servers -> play(fleet, servers) }
+            }
+        }
+        val findings = StopFindings(ledger, stops).all() + stops.findings
+        return StopSoakReport(ledger.statements.size, stops.count, findings)
+    }
+
+    private fun play(fleet: ProxyFleet, servers: LineServerGroup) {
+        val configuration = StopConfiguration(fleet.store, options.statementTimeoutMillis, servers.servers)
+        fleet.start()
+        var ended = false
+        val callers = callers(fleet).map { thread { it.run { ended } } }
+        Thread.sleep(WARM_UP_MILLIS)
+        val end = System.nanoTime() + TimeUnit.SECONDS.toNanos(options.seconds)
+        StopDisruptions(fleet, configuration, stops, random).run(end)
+        ended = true
+        callers.forEach(Thread::join)
+    }
+
+    private fun callers(fleet: ProxyFleet): List<StopCaller> {
+        val databases = StopConfiguration.DATABASES.keys.toList()
+        return fleet.nodes.flatMapIndexed { number, node ->
+            STYLES.mapIndexed { index, style ->
+                val database = databases[(number + index) % databases.size]
+                val target = CallerTarget(node, fleet.callerPort(node), database)
+                StopCaller(target, style, ledger, Random(random.nextLong()))
+            }
+        }
+    }
+
+    private companion object {
+        const val WARM_UP_MILLIS = 2_000L
+
+        /** The callers of a proxy. Most send several statements together, since a queue is where statements are lost. */
+        val STYLES = CallerStyle.entries + List(2) { CallerStyle.THREE_TOGETHER }
+    }
+}
+
+/**
+ * Runs seeds by hand: FOLDER FIRST_SEED LAST_SEED [PROCESSES [SECONDS [WORKLOAD [CLASS_PATH]]]]. Prints a line for each
+ * seed and each finding, and exits with 1 if there is a finding. Logs of the processes are kept in FOLDER.
+ */
+fun main(arguments: Array<String>) {
+    val (folder, first, last) = arguments
+    val reports = (first.toLong()..last.toLong()).map { seed ->
+        val defaults = StopSoakOptions(seed)
+        val options =
+            StopSoakOptions(
+                seed = seed,
+                processes = arguments.getOrNull(3)?.toInt() ?: defaults.processes,
+                seconds = arguments.getOrNull(4)?.toLong() ?: defaults.seconds,
+                workload = arguments.getOrNull(5)?.let(Workload::valueOf) ?: defaults.workload,
+                classPath = arguments.getOrNull(6),
+            )
+        val report = StopSoak(options, Path.of(folder, "seed-$seed")).run()
+        println("seed $seed: ${report.findings.size} of ${report.statements} statements, ${report.stops} stops")
+        report.findings.forEach { println("  $it") }
+        report
+    }
+    println("in all: ${reports.sumOf { it.findings.size }} of ${reports.sumOf { it.statements }} statements")
+    kotlin.system.exitProcess(if (reports.any { it.findings.isNotEmpty() }) 1 else 0)
+}
