--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/processes/ChildProcesses.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/processes/ChildProcesses.kt
@@ -6,8 +6,8 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * The processes that a test has started. They write to files in [folder]; closing ends exactly these processes. They run
- * the classes of this test unless [classPath] names others.
+ * The processes that a test has started. They write to files in [folder]; closing ends exactly these processes. They
+ * run the classes of this test unless [classPath] names others.
  */
 internal class ChildProcesses(private val folder: Path, classPath: String? = null) : AutoCloseable {
     private val processes = ConcurrentHashMap<String, Process>()
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/LineServerGroup.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/LineServerGroup.kt
@@ -6,6 +6,7 @@
 import java.net.Socket
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
+import kotlin.random.Random
 
 /** How long the statements of a run take at servers: all are short, or some are slow. */
 internal enum class Workload { SHORT, SOME_SLOW }
@@ -69,14 +70,17 @@
 
         private fun answer(identifier: String, sent: String): String {
             val text = if (sent.startsWith("WAITLSN ")) sent.split(' ', limit = 3)[2] else sent
-            val refusesWrites = !server.isPrimary && (text == "BEGIN" || text.startsWith("WRITE"))
-            when (val word = text.substringBefore(' ')) {
-                "READ", "WRITE", "COMMIT" -> if (!refusesWrites) return run(identifier, word)
-                "STATUS" -> return status()
-                "BEGIN" -> if (!refusesWrites) state = "T"
-                "ROLLBACK" -> end()
+            val word = text.substringBefore(' ')
+            return when {
+                !server.isPrimary && (text == "BEGIN" || word == "WRITE") -> "ERROR READONLY ${server.name}\r\n"
+                word in WORK -> run(identifier, word)
+                word == "STATUS" -> status()
+                else -> {
+                    if (word == "BEGIN") state = "T"
+                    if (word == "ROLLBACK") end()
+                    "COMPLETE -\r\n"
+                }
             }
-            return if (refusesWrites) "ERROR READONLY ${server.name}\r\n" else "COMPLETE -\r\n"
         }
 
         private fun status(): String {
@@ -112,17 +116,19 @@
 
     // Depends on the identifier only, so that a repetition takes as long.
     private fun workMillis(identifier: String): Long {
-        val random = kotlin.random.Random(identifier.hashCode())
+        val random = Random(identifier.hashCode())
         val isSlow = workload == Workload.SOME_SLOW && random.nextInt(PERCENT) < SLOW_PERCENT
-        return if (isSlow) random.nextLong(SLOWEST_MILLIS.first, SLOWEST_MILLIS.last) else SHORT_MILLIS
+        return if (isSlow) random.nextLong(SLOW_MILLIS.first, SLOW_MILLIS.last) else SHORT_MILLIS
     }
 
     private companion object {
+        /** The statements that take time at a server. */
+        val WORK = setOf("READ", "WRITE", "COMMIT")
         const val SERVERS = 3
         const val BACKLOG = 200
         const val SHORT_MILLIS = 11L
         const val SLOW_PERCENT = 10
         const val PERCENT = 100
-        val SLOWEST_MILLIS = 200L..3_200L
+        val SLOW_MILLIS = 200L..3_200L
     }
 }
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/StopCaller.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/StopCaller.kt
@@ -37,7 +37,7 @@
     fun run(isEnded: () -> Boolean) {
         while (!isEnded()) {
             try {
-                Connection().use { connection -> while (!isEnded() && connection.operate()) Unit }
+                Connection().use { it.operateUntil(isEnded) }
             } catch (_: IOException) {
                 // The ledger has what the end of the connection left without an answer.
                 Thread.sleep(RECONNECT_PAUSE_MILLIS)
@@ -60,8 +60,12 @@
 
         override fun close() = socket.close()
 
-        /** Performs one operation; returns false if the session is not used any more. */
-        fun operate(): Boolean =
+        /** Performs operations until [isEnded] or the session is not used any more. */
+        fun operateUntil(isEnded: () -> Boolean) {
+            while (!isEnded() && operate()) Unit
+        }
+
+        private fun operate(): Boolean =
             when (style) {
                 CallerStyle.SINGLE -> isUsable(exchange(listOf(single())))
                 CallerStyle.THREE_TOGETHER -> isUsable(exchange(List(TOGETHER) { single() }))
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/StopConfiguration.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/StopConfiguration.kt
@@ -25,8 +25,8 @@
     fun change() {
         version++
         val routes = (DATABASES + ("unused-$version" to "primary")).entries.joinToString { (database, consistency) ->
-            """{"database":"$database","service":"$GROUP","type":"$consistency","timeout_ms":$statementTimeoutMillis,""" +
-                """"target_latency_ms":800,"priority":1,"max_staleness_ms":2500}"""
+            """{"database":"$database","service":"$GROUP","type":"$consistency","priority":1,""" +
+                """"timeout_ms":$statementTimeoutMillis,"target_latency_ms":800,"max_staleness_ms":2500}"""
         }
         val group = """{"name":"$GROUP","max_conns":90,"sync_replicas":0}"""
         val limits = """{"tx_idle_ms":3000}"""
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/StopLog.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/StopLog.kt
@@ -21,8 +21,10 @@
 
     /** The times of a statement relative to the latest request to stop its proxy before [endedAt]. */
     fun describe(statement: SentStatement, endedAt: Long): String {
-        val stop = stops.filter { it.node == statement.node && it.requestedAt <= endedAt }.maxByOrNull { it.requestedAt }
-            ?: return "(no stop)"
+        val stop =
+            stops
+                .filter { it.node == statement.node && it.requestedAt <= endedAt }
+                .maxByOrNull { it.requestedAt } ?: return "(no stop)"
         val sent = TimeUnit.NANOSECONDS.toMillis(statement.sentAt - stop.requestedAt)
         val ended = TimeUnit.NANOSECONDS.toMillis(endedAt - stop.requestedAt)
         return "(sent $sent ms and ended $ended ms after SIGTERM)"
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/StopSoak.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/StopSoak.kt
@@ -5,6 +5,7 @@
 import kotlin.concurrent.thread
 import kotlin.io.path.createDirectories
 import kotlin.random.Random
+import kotlin.system.exitProcess
 
 /** What a run does. The seed decides the schedule of the stops and changes and what callers send. */
 internal data class StopSoakOptions(
@@ -63,7 +64,7 @@
     private companion object {
         const val WARM_UP_MILLIS = 2_000L
 
-        /** The callers of a proxy. Most send several statements together, since a queue is where statements are lost. */
+        /** The callers of a proxy. Most send several statements together, so that some wait in a queue. */
         val STYLES = CallerStyle.entries + List(2) { CallerStyle.THREE_TOGETHER }
     }
 }
@@ -90,5 +91,5 @@
         report
     }
     println("in all: ${reports.sumOf { it.findings.size }} of ${reports.sumOf { it.statements }} statements")
-    kotlin.system.exitProcess(if (reports.any { it.findings.isNotEmpty() }) 1 else 0)
+    exitProcess(if (reports.any { it.findings.isNotEmpty() }) 1 else 0)
 }
