Answer what a caller has sent before its session is closed

What callers saw: around a stop, a caller that sends several statements together got an answer to the first ones, and then its connection was closed with the rest unanswered, though they had been read up to 5 s before. None of them had run.

Cause: the connection of a caller queues the messages behind an outstanding one, and the reducer, which decides to close a session, doesn't know of the queue. In a drain it refused one statement and closed the session, and at the exit it answered the outstanding statement and closed the session; the queue was dropped each time.

Why it works: closing a session is a request to its connection, which goes on to submit what was read. The reducer refuses statements of closed sessions as not run.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEffect.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEffect.kt
@@ -39,9 +39,12 @@
     /** Answers the statement that a peer forwarded for [session]. */
     data class AnswerForwarded(val session: SessionNumber, val answer: ForwardedAnswer) : SessionEffect
 
-    /** Closes a session. An outstanding statement gets no answer, so its outcome stays unknown to the caller. */
+    /** Closes a session after its caller's messages; statements among them still arrive as events. */
     data class CloseSession(val session: SessionNumber) : SessionEffect
 
+    /** Closes a session at once. Its statements get no answer, so their outcomes stay unknown to the caller. */
+    data class AbortSession(val session: SessionNumber) : SessionEffect
+
     /** Opens a connection; it is then reported as opened, refused or lost. */
     data class OpenConnection(val connection: ConnectionNumber, val server: RegisteredServer) : SessionEffect
 
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/LateArrivals.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/LateArrivals.kt
@@ -1,6 +1,7 @@
 package dev.hibiscusreach.sessions.part
 
 import dev.hibiscusreach.core.model.ErrorKind
+import dev.hibiscusreach.sessions.event.SessionEvent
 import dev.hibiscusreach.sessions.model.SessionReply
 import dev.hibiscusreach.sessions.model.TransactionStatus
 import dev.hibiscusreach.sessions.state.Session
@@ -13,6 +14,8 @@
     /** Reason for refusals and ended transactions during a drain. */
     const val STOPPING: String = "the proxy is stopping"
 
+    private val REFUSAL = SessionReply.Refused(ErrorKind.DRAINING, STOPPING, TransactionStatus.NONE)
+
     /** Whether a statement that arrives now might not be answered before the exit. */
     fun isRefusing(reduction: Reduction): Boolean {
         val since = reduction.state.stoppingSince ?: return false
@@ -21,11 +24,15 @@
 
     /** Refuses a statement of a session without a transaction as not run, and closes the session. */
     fun refuseStatement(reduction: Reduction, session: Session, identifier: String) {
-        val reply = SessionReply.Refused(ErrorKind.DRAINING, STOPPING, TransactionStatus.NONE)
-        SessionReplies.answerLocally(reduction, session, identifier, reply)
+        SessionReplies.answerLocally(reduction, session, identifier, REFUSAL)
         SessionDraining.close(reduction, session)
     }
 
+    /** Refuses a statement that its caller had sent before it learned that its session is closed. */
+    fun refuseOfClosedSession(reduction: Reduction, event: SessionEvent.StatementArrived) {
+        SessionReplies.answerClosed(reduction, event.session, event.identifier, REFUSAL)
+    }
+
     /** The session without its open transaction, which is ended: another statement of it might not be answered. */
     fun withoutTransaction(reduction: Reduction, session: Session): Session {
         if (session.transaction.status != TransactionStatus.OPEN) return session
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionDraining.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionDraining.kt
@@ -52,7 +52,7 @@
                 StatementDeadlines.endTransaction(reduction, session, LateArrivals.STOPPING)
             }
 
-    /** Closes the session of a caller. */
+    /** Closes the session of a caller. Statements that the caller has sent meanwhile are refused. */
     fun close(reduction: Reduction, session: Session) {
         reduction.remove(session)
         reduction.emit(SessionEffect.CloseSession(session.number))
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionReplies.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionReplies.kt
@@ -5,6 +5,7 @@
 import dev.hibiscusreach.core.model.RetryAdvice
 import dev.hibiscusreach.sessions.event.SessionCounter
 import dev.hibiscusreach.sessions.event.SessionEffect
+import dev.hibiscusreach.sessions.event.SessionNumber
 import dev.hibiscusreach.sessions.model.ForwardedAnswer
 import dev.hibiscusreach.sessions.model.SessionReply
 import dev.hibiscusreach.sessions.model.TransactionStatus
@@ -28,6 +29,19 @@
         emitReply(reduction, session, reply)
     }
 
+    /** Answers a statement of a session that is closed. */
+    fun answerClosed(reduction: Reduction, session: SessionNumber, identifier: String, reply: SessionReply) {
+        reduction.log(
+            "statement refused",
+            "request" to identifier,
+            "session" to session.value,
+            "outcome" to outcome(reply),
+            "reason" to "the session is closed",
+        )
+        reduction.count(SessionCounter.STATEMENTS, outcome(reply))
+        reduction.emit(SessionEffect.Reply(session, reply))
+    }
+
     /** Answers the pending statement of [session]; [session] is already in its state after the answer. */
     fun answerPending(reduction: Reduction, session: Session, pending: PendingStatement, reply: SessionReply) {
         reduction.put(session.copy(pending = null, idleSince = reduction.now))
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/StatementArrivals.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/StatementArrivals.kt
@@ -15,7 +15,7 @@
 internal object StatementArrivals {
     /** Answers or dispatches a statement according to the state of the session's transaction. */
     fun statementArrived(reduction: Reduction, event: SessionEvent.StatementArrived) {
-        val arrived = reduction.session(event.session) ?: return
+        val arrived = reduction.session(event.session) ?: return LateArrivals.refuseOfClosedSession(reduction, event)
         val isRefusing = LateArrivals.isRefusing(reduction)
         val session = if (isRefusing) LateArrivals.withoutTransaction(reduction, arrived) else arrived
         when (val transaction = session.transaction) {
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/GracefulStopTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/GracefulStopTest.kt
@@ -87,6 +87,20 @@
         expectThat(sentStatements(effects)).isEmpty()
     }
 
+    @Test
+    fun `statements behind a refused one are refused as not run - guards against statements that get no answer`() {
+        val session = proxy.session(1, SIGN_OFFS)
+        proxy.feed(SessionEvent.StopRequested)
+        keepBusy(session, millis = 3_500)
+        proxy.send(session, WRITE)
+        proxy.takeEffects()
+        proxy.send(session, WRITE)
+        val effects = proxy.takeEffects()
+        val replies = effects.filterIsInstance<SessionEffect.Reply>().map { it.reply }
+        expectThat(replies.map { (it as SessionReply.Refused).kind }).isEqualTo(listOf(ErrorKind.DRAINING))
+        expectThat(sentStatements(effects)).isEmpty()
+    }
+
     @Test
     fun `a commit late in the drain is not sent - guards against a commit that ends without an answer`() {
         val session = proxy.session(1, SIGN_OFFS)
