Refuse sessions that wait for a configuration when the process exits

What callers saw: a session that was requested from a proxy without a configuration, late in a stop, was closed without an answer.

Cause: the drain ends when no session is left, and those that wait for the first configuration are not among the sessions. The exit closed their connections.

Evidence: the new test of GracefulStopTest finds no refusal without the change.

Why it works: the exit refuses them first, as stopping, so that their callers turn to another proxy at once.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionDraining.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionDraining.kt
@@ -73,6 +73,7 @@
     }
 
     private fun exit(reduction: Reduction) {
+        SessionLifecycle.refuseArriving(reduction)
         answerPending(reduction)
         stopListening(reduction)
         reduction.state.sessions.values.filter { !it.isForwarded }.forEach { close(reduction, it) }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionLifecycle.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionLifecycle.kt
@@ -40,26 +40,33 @@
         expired.forEach { acceptOrRefuse(reduction, it.number, it.database) }
     }
 
+    /** Refuses the sessions that wait for a configuration when the process exits. */
+    fun refuseArriving(reduction: Reduction) {
+        val arriving = reduction.state.arriving
+        reduction.state = reduction.state.copy(arriving = persistentListOf())
+        arriving.forEach { refuse(reduction, it.number, it.database, ErrorKind.DRAINING) }
+    }
+
     private fun acceptOrRefuse(reduction: Reduction, session: SessionNumber, database: DatabaseName) {
         val configuration = reduction.state.configuration
-        val isRefusing = LateArrivals.isRefusing(reduction)
-        if (!isRefusing && configuration?.routes?.containsKey(database) == true) {
-            reduction.put(Session(session, database, idleSince = reduction.now))
-            reduction.emit(SessionEffect.AcceptSession(session))
-            return
-        }
-        val kind =
-            when {
-                isRefusing -> ErrorKind.DRAINING
-                configuration == null -> ErrorKind.NO_CONFIGURATION
-                else -> ErrorKind.UNKNOWN_DATABASE
+        when {
+            LateArrivals.isRefusing(reduction) -> refuse(reduction, session, database, ErrorKind.DRAINING)
+            configuration == null -> refuse(reduction, session, database, ErrorKind.NO_CONFIGURATION)
+            database !in configuration.routes -> refuse(reduction, session, database, ErrorKind.UNKNOWN_DATABASE)
+            else -> {
+                reduction.put(Session(session, database, idleSince = reduction.now))
+                reduction.emit(SessionEffect.AcceptSession(session))
             }
+        }
+    }
+
+    private fun refuse(reduction: Reduction, session: SessionNumber, database: DatabaseName, kind: ErrorKind) {
         reduction.log(
             "session refused",
             "session" to session.value,
             "database" to database,
             "reason" to kind.label,
-            "configurationVersion" to configuration?.version,
+            "configurationVersion" to reduction.state.configuration?.version,
         )
         reduction.emit(SessionEffect.RefuseSession(session, kind, "database $database is not available"))
     }
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/GracefulStopTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/GracefulStopTest.kt
@@ -129,6 +129,19 @@
         expectThat(refused.map { it.session to it.kind }).isEqualTo(listOf(late to ErrorKind.DRAINING))
     }
 
+    @Test
+    fun `a session that waits for a configuration is refused at the exit - guards against one without an answer`() {
+        val starting = ProxyFixture()
+        starting.feed(SessionEvent.StopRequested)
+        starting.advanceTime(2_400, groups = false)
+        val session = starting.session(1)
+        starting.advanceTime(300, groups = false)
+        val effects = starting.takeEffects()
+        expectThat(effects).contains(SessionEffect.Exit)
+        val refused = effects.filterIsInstance<SessionEffect.RefuseSession>()
+        expectThat(refused.map { it.session to it.kind }).isEqualTo(listOf(session to ErrorKind.DRAINING))
+    }
+
     @Test
     fun `a write that is pending at the exit is answered - guards against a request that ends without an answer`() {
         val configuration = proxy.configuration()
