--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/ProxyFleet.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/ProxyFleet.kt
@@ -19,7 +19,12 @@
 
     val store = StoreStandIn()
     private val processes = ChildProcesses(folder, classPath)
-    private val proxies = List(count) { Proxy("front-${it + 1}", FreePorts.choose(PORTS)) }.associateBy { it.node }
+    private val proxies =
+        FreePorts
+            .choose(count * PORTS)
+            .chunked(PORTS)
+            .mapIndexed { index, ports -> Proxy("front-${index + 1}", ports) }
+            .associateBy { it.node }
     private val running = ConcurrentHashMap<String, Process>()
 
     val nodes: Set<String> get() = proxies.keys
