--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/StopSoak.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/StopSoak.kt
@@ -69,10 +69,7 @@
     }
 }
 
-/**
- * Runs seeds by hand: FOLDER FIRST_SEED LAST_SEED [PROCESSES [SECONDS [WORKLOAD [CLASS_PATH]]]]. Prints a line for each
- * seed and each finding, and exits with 1 if there is a finding. Logs of the processes are kept in FOLDER.
- */
+/** Runs the seeds that `bin/soak-stops` names; prints a line for each seed and each finding. */
 fun main(arguments: Array<String>) {
     val (folder, first, last) = arguments
     val reports = (first.toLong()..last.toLong()).map { seed ->
