--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/SessionReducer.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/SessionReducer.kt
@@ -5,6 +5,7 @@
 import dev.hibiscusreach.sessions.event.SessionEvent
 import dev.hibiscusreach.sessions.event.TimedSessionEvent
 import dev.hibiscusreach.sessions.event.TimerSubject
+import dev.hibiscusreach.sessions.part.ConfigurationFreshness
 import dev.hibiscusreach.sessions.part.FleetEvents
 import dev.hibiscusreach.sessions.part.GroupMonitoring
 import dev.hibiscusreach.sessions.part.PeerMonitoring
@@ -43,6 +44,7 @@
             is SessionEvent.ConnectionLost -> ServerConnectionEvents.lost(reduction, event)
             is SessionEvent.ServerAnswered -> ServerAnswers.handle(reduction, event)
             is SessionEvent.ConfigurationRead -> ServerRegistry.applyConfiguration(reduction, event.configuration)
+            is SessionEvent.ConfigurationConfirmed -> ConfigurationFreshness.confirmed(reduction, event)
             is SessionEvent.ServersRead -> ServerRegistry.read(reduction, event)
             is SessionEvent.TimerFired -> fire(reduction, event.subject)
             SessionEvent.StopRequested -> SessionDraining.begin(reduction)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEvent.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEvent.kt
@@ -88,6 +88,9 @@
     /** The operators' configuration was read. */
     data class ConfigurationRead(val configuration: RoutingConfiguration) : SessionEvent
 
+    /** A read that was sent at [readAt], by this proxy or a peer, has shown the latest configuration. */
+    data class ConfigurationConfirmed(val readAt: MonotonicTime) : SessionEvent
+
     /** The list of registered servers was read or has changed. */
     data class ServersRead(val servers: Map<ServerName, RegisteredServer>) : SessionEvent
 
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ServerRegistry.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ServerRegistry.kt
@@ -20,6 +20,8 @@
                 "version" to configuration.version,
                 "before" to before,
                 "routes" to configuration.routes.size,
+                "sinceConfirmedMillis" to ConfigurationFreshness.age(reduction)?.value,
+                "source" to (reduction.state.fleet.source.peer ?: "store"),
             )
             SessionLifecycle.onConfigured(reduction)
         } else if (configuration.version < before) {
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionLifecycle.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionLifecycle.kt
@@ -67,6 +67,7 @@
             "database" to database,
             "reason" to kind.label,
             "configurationVersion" to reduction.state.configuration?.version,
+            "sinceConfirmedMillis" to ConfigurationFreshness.age(reduction)?.value,
         )
         reduction.emit(SessionEffect.RefuseSession(session, kind, "database $database is not available"))
     }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
@@ -25,6 +25,8 @@
     val self: LocalProxy,
     val settings: SessionSettings = SessionSettings(),
     val configuration: RoutingConfiguration? = null,
+    /** When the latest read of the configuration was sent; versions that were accepted before are known. */
+    val configurationConfirmedAt: MonotonicTime? = null,
     val serversKnown: Boolean = false,
     val servers: PersistentMap<ServerName, KnownServer> = persistentMapOf(),
     val fleet: FleetView = FleetView(),
