--- /dev/null
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/processes/LoopbackRelay.kt
@@ -0,0 +1,87 @@
+package dev.hibiscusreach.systemtests.processes
+
+import java.io.IOException
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.concurrent.thread
+
+/** Forwards loopback connections to the port [target], and holds back or loses what they carry when told to. */
+internal class LoopbackRelay(private val target: Int) : AutoCloseable {
+    private class Link(val near: Socket, val far: Socket) {
+        @Volatile
+        var lost = false
+    }
+
+    private val listener = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
+    private val links = ConcurrentHashMap.newKeySet<Link>()
+
+    @Volatile
+    private var held = false
+
+    /** The port at which connections are accepted. */
+    val port: Int get() = listener.localPort
+
+    init {
+        thread(isDaemon = true) { accept() }
+    }
+
+    /** Holds back the bytes of all connections, also of new ones, until [release]. */
+    fun hold() {
+        held = true
+    }
+
+    fun release() {
+        held = false
+    }
+
+    /** Loses all further bytes of the open connections, which stay open. New connections work. */
+    fun loseOpenConnections() = links.forEach { it.lost = true }
+
+    override fun close() {
+        listener.close()
+        links.forEach(::end)
+    }
+
+    private fun accept() {
+        while (!listener.isClosed) {
+            try {
+                val near = listener.accept()
+                val link = Link(near, Socket(InetAddress.getLoopbackAddress(), target))
+                links += link
+                thread(isDaemon = true) { pump(link, link.near, link.far) }
+                thread(isDaemon = true) { pump(link, link.far, link.near) }
+            } catch (_: IOException) {
+                // The relay was closed.
+            }
+        }
+    }
+
+    private fun pump(link: Link, from: Socket, to: Socket) {
+        try {
+            val buffer = ByteArray(BUFFER_BYTES)
+            val input = from.getInputStream()
+            generateSequence { input.read(buffer) }.takeWhile { it >= 0 }.forEach { count ->
+                while (held && !link.lost) Thread.sleep(POLL_MILLIS)
+                if (!link.lost) to.getOutputStream().write(buffer, 0, count)
+            }
+        } catch (_: IOException) {
+            // One end has closed the connection.
+        }
+        // The far end of a lost connection must not learn that the near end has closed it.
+        if (!link.lost || from === link.near) end(link)
+    }
+
+    private fun end(link: Link) {
+        links -= link
+        link.near.close()
+        link.far.close()
+    }
+
+    private companion object {
+        const val BACKLOG = 200
+        const val BUFFER_BYTES = 16 * 1024
+        const val POLL_MILLIS = 5L
+    }
+}
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/ProxyFleet.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/ProxyFleet.kt
@@ -3,6 +3,7 @@
 import dev.hibiscusreach.platform.StoreStandIn
 import dev.hibiscusreach.systemtests.processes.ChildProcesses
 import dev.hibiscusreach.systemtests.processes.FreePorts
+import dev.hibiscusreach.systemtests.processes.LoopbackRelay
 import dev.hibiscusreach.systemtests.processes.Program
 import dev.hibiscusreach.systemtests.processes.awaitTrue
 import java.io.IOException
@@ -13,9 +14,17 @@
 import java.util.concurrent.TimeUnit
 import kotlin.io.path.writeText
 
-/** Proxies of the users' platform, each a process of its own in one failure domain, on a store that stands in. */
-internal class ProxyFleet(private val folder: Path, count: Int, classPath: String?) : AutoCloseable {
-    private class Proxy(val node: String, val ports: List<Int>)
+/**
+ * Proxies of the users' platform, each a process of its own, on a store that stands in. They are dealt out to [domains]
+ * failure domains. Each reaches the store through a relay of its own.
+ */
+internal class ProxyFleet(
+    private val folder: Path,
+    count: Int,
+    classPath: String?,
+    private val domains: Int = 1,
+) : AutoCloseable {
+    private class Proxy(val node: String, val ports: List<Int>, val domain: String)
 
     val store = StoreStandIn()
     private val processes = ChildProcesses(folder, classPath)
@@ -23,8 +32,9 @@
         FreePorts
             .choose(count * PORTS)
             .chunked(PORTS)
-            .mapIndexed { index, ports -> Proxy("front-${index + 1}", ports) }
+            .mapIndexed { index, ports -> Proxy("front-${index + 1}", ports, domainOf(index)) }
             .associateBy { it.node }
+    private val relays = proxies.mapValues { LoopbackRelay(store.endpoint.port) }
     private val running = ConcurrentHashMap<String, Process>()
 
     val nodes: Set<String> get() = proxies.keys
@@ -56,6 +66,9 @@
 
     fun callerPort(node: String): Int = proxies.getValue(node).ports.first()
 
+    /** The path between [node] and the store. */
+    fun pathToStore(node: String): LoopbackRelay = relays.getValue(node)
+
     /** Whether the proxy answers its readiness check. */
     fun isReady(node: String): Boolean {
         val address = URI("http://127.0.0.1:${proxies.getValue(node).ports[1]}/ready").toURL()
@@ -71,18 +84,22 @@
 
     override fun close() {
         processes.close()
+        relays.values.forEach(LoopbackRelay::close)
         store.close()
     }
 
     private fun settings(proxy: Proxy): String {
+        val regions = (0 until domains).joinToString { """"${domainOf(it)}":"west"""" }
         val (caller, operations, peer) = proxy.ports.map { "127.0.0.1:$it" }
         return """
-            {"node":"${proxy.node}","failureDomain":"yard","regions":{"yard":"west"},"callerAddress":"$caller",
-            "operationsAddress":"$operations","peerAddress":"$peer","storeAddress":"${store.endpoint}",
-            "promotionAddress":"${store.endpoint}","descriptorLimit":4300}
+            {"node":"${proxy.node}","failureDomain":"${proxy.domain}","regions":{$regions},"callerAddress":"$caller",
+            "operationsAddress":"$operations","peerAddress":"$peer",
+            "storeAddress":"127.0.0.1:${relays.getValue(proxy.node).port}","promotionAddress":"${store.endpoint}","descriptorLimit":4300}
         """.trimIndent()
     }
 
+    private fun domainOf(index: Int) = if (index % domains == 0) "yard" else "yard-${index % domains + 1}"
+
     private companion object {
         const val PORTS = 3
         const val START_SECONDS = 60
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/StopConfiguration.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/StopConfiguration.kt
@@ -1,6 +1,7 @@
 package dev.hibiscusreach.systemtests.stops
 
 import dev.hibiscusreach.platform.StoreStandIn
+import java.util.concurrent.ConcurrentSkipListMap
 
 /** The operators' configuration and the entries of the servers in the store. */
 internal class StopConfiguration(
@@ -9,6 +10,7 @@
     servers: List<LineServerGroup.LineServer>,
 ) {
     private var version = 0
+    private val confirmedAt = ConcurrentSkipListMap<Long, Int>()
 
     init {
         servers.forEach { server ->
@@ -21,10 +23,18 @@
         change()
     }
 
-    /** Writes the next version, which differs in a route that nobody uses. */
+    /** The newest version that was confirmed before a time of [System.nanoTime]; the first one if there is none. */
+    fun newestConfirmed(before: Long): Int = confirmedAt.headMap(before).lastEntry()?.value ?: FIRST_VERSION
+
+    /** When [version] was confirmed. */
+    fun confirmationOf(version: Int): Long = confirmedAt.entries.first { it.value == version }.key
+
+    /** Writes the next version, which adds a route that no caller uses, and removes one that an earlier version added. */
+    @Synchronized
     fun change() {
         version++
-        val routes = (DATABASES + ("unused-$version" to "primary")).entries.joinToString { (database, consistency) ->
+        val unused = (maxOf(FIRST_VERSION, version - KEPT_VERSIONS + 1)..version).map(::databaseOf)
+        val routes = (DATABASES + unused.associateWith { "primary" }).entries.joinToString { (database, consistency) ->
             """{"database":"$database","service":"$GROUP","type":"$consistency","priority":1,""" +
                 """"timeout_ms":$statementTimeoutMillis,"target_latency_ms":800,"max_staleness_ms":2500}"""
         }
@@ -32,10 +42,22 @@
         val limits = """{"tx_idle_ms":3000}"""
         val content = """{"version":$version,"routes":[$routes],"services":[$group],"limits":$limits}"""
         store.put("config", "main", content)
+        confirmedAt[System.nanoTime()] = version
     }
 
     companion object {
         private const val GROUP = "ledger"
+        private const val FIRST_VERSION = 1
+
+        /** Versions for which a route stays; more than are written until a version has to be in force. */
+        private const val KEPT_VERSIONS = 16
+
+        /** The database that [version] adds. */
+        fun databaseOf(version: Int): String = "unused-$version"
+
+        /** The database that [version] removes; null if it removes none. */
+        fun removedBy(version: Int): String? =
+            (version - KEPT_VERSIONS).takeIf { it >= FIRST_VERSION }?.let(::databaseOf)
 
         /** The databases of callers, with the consistency of their reads. */
         val DATABASES =
