--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/SessionReducer.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/SessionReducer.kt
@@ -64,6 +64,7 @@
             }
             TimerSubject.GROUPS -> {
                 startTimer(reduction, subject, reduction.settings.changes.checkPeriod)
+                ConfigurationFreshness.review(reduction)
                 ServerRegistry.review(reduction)
                 StoreSources.review(reduction)
                 PeerMonitoring.review(reduction)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEffect.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEffect.kt
@@ -60,6 +60,9 @@
     /** Reads the latest configuration from the store itself, beside the reads that go on. */
     data object ReadConfiguration : SessionEffect
 
+    /** Reads all of the configuration from the store itself, even if its watches report no change. */
+    data object VerifyConfiguration : SessionEffect
+
     /** Reads the store's objects through [peer] from now on, or from the store itself if it is null. */
     data class SelectStoreSource(val peer: Endpoint?) : SessionEffect
 
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ConfigurationFreshness.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ConfigurationFreshness.kt
@@ -1,9 +1,13 @@
 package dev.hibiscusreach.sessions.part
 
 import dev.hibiscusreach.core.model.Millis
+import dev.hibiscusreach.sessions.event.SessionEffect
 import dev.hibiscusreach.sessions.event.SessionEvent
 
-/** Tracks how long ago the store was known to have no newer version of the configuration. */
+/**
+ * Limits the age of what is known of the configuration. The source of reads may be a peer that has lost the store, or
+ * a watch that has gone silent, so a proxy that nobody has told lately that its version is the newest asks the store.
+ */
 internal object ConfigurationFreshness {
     /** Records a completed read. A read through a peer may be older than the latest direct one. */
     fun confirmed(reduction: Reduction, event: SessionEvent.ConfigurationConfirmed) {
@@ -14,4 +18,30 @@
     /** Age of what is known of the configuration; null before the first read. */
     fun age(reduction: Reduction): Millis? =
         reduction.state.configurationConfirmedAt?.let { reduction.now - it }
+
+    /** Reads the configuration from the store itself, beside the reads that go on, while it is too old. */
+    fun review(reduction: Reduction) {
+        val settings = reduction.settings.configuration
+        val age = age(reduction)
+        val isOld = age == null || age > settings.ageLimit
+        if (isOld && !isVerifiedLately(reduction)) verify(reduction)
+    }
+
+    // The first review follows the start of the first read.
+    private fun isVerifiedLately(reduction: Reduction): Boolean {
+        val verifiedAt = reduction.state.configurationVerifiedAt
+        if (verifiedAt == null) reduction.state = reduction.state.copy(configurationVerifiedAt = reduction.now)
+        return verifiedAt == null || reduction.now - verifiedAt < reduction.settings.configuration.verificationPause
+    }
+
+    private fun verify(reduction: Reduction) {
+        reduction.state = reduction.state.copy(configurationVerifiedAt = reduction.now)
+        reduction.log(
+            "configuration verified",
+            "inForce" to reduction.state.configuration?.version,
+            "sinceConfirmedMillis" to age(reduction)?.value,
+            "source" to (reduction.state.fleet.source.peer ?: "store"),
+        )
+        reduction.emit(SessionEffect.VerifyConfiguration)
+    }
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
@@ -27,6 +27,8 @@
     val configuration: RoutingConfiguration? = null,
     /** When the latest read of the configuration was sent; versions that were accepted before are known. */
     val configurationConfirmedAt: MonotonicTime? = null,
+    /** When the store itself was last asked because the configuration was too old; null before the first review. */
+    val configurationVerifiedAt: MonotonicTime? = null,
     val serversKnown: Boolean = false,
     val servers: PersistentMap<ServerName, KnownServer> = persistentMapOf(),
     val fleet: FleetView = FleetView(),
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
@@ -18,6 +18,7 @@
 
 /** Timeouts, periods and limits of the reducer. */
 data class SessionSettings(
+    val configuration: ConfigurationSettings = ConfigurationSettings(),
     val statements: StatementSettings = StatementSettings(),
     val connections: ConnectionSettings = ConnectionSettings(),
     val leases: LeaseSettings = LeaseSettings(),
@@ -26,6 +27,14 @@
     val drain: DrainSettings = DrainSettings(),
 )
 
+/** Limits on the age of what is known of the configuration, so that a version is in force within 3 s. */
+data class ConfigurationSettings(
+    /** Age above which the store itself is asked; above that of two watches and a pause, which are answered in time. */
+    val ageLimit: Millis = 2400.milliseconds,
+    /** Pause before the store is asked again; longer than the time allowed for its answer. */
+    val verificationPause: Millis = 1.seconds,
+)
+
 /** Limits on statements. */
 data class StatementSettings(
     /** Period of the deadline checks; half of the shortest pause before a retry. */
