--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/SessionReducer.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/SessionReducer.kt
@@ -43,11 +43,16 @@
             is SessionEvent.ConnectionRefused -> ServerConnectionEvents.refused(reduction, event)
             is SessionEvent.ConnectionLost -> ServerConnectionEvents.lost(reduction, event)
             is SessionEvent.ServerAnswered -> ServerAnswers.handle(reduction, event)
+            is SessionEvent.TimerFired -> fire(reduction, event.subject)
+            SessionEvent.StopRequested -> SessionDraining.begin(reduction)
+            else -> handleRead(reduction, event)
+        }
+
+    private fun handleRead(reduction: Reduction, event: SessionEvent) =
+        when (event) {
             is SessionEvent.ConfigurationRead -> ServerRegistry.applyConfiguration(reduction, event.configuration)
             is SessionEvent.ConfigurationConfirmed -> ConfigurationFreshness.confirmed(reduction, event)
             is SessionEvent.ServersRead -> ServerRegistry.read(reduction, event)
-            is SessionEvent.TimerFired -> fire(reduction, event.subject)
-            SessionEvent.StopRequested -> SessionDraining.begin(reduction)
             else -> FleetEvents.handle(reduction, event)
         }
 
