--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEffect.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEffect.kt
@@ -63,6 +63,9 @@
     /** Reads all of the configuration from the store itself, even if its watches report no change. */
     data object VerifyConfiguration : SessionEffect
 
+    /** Reads the latest changes of the servers' entries from the store itself. */
+    data object ReadServers : SessionEffect
+
     /** Reads the store's objects through [peer] from now on, or from the store itself if it is null. */
     data class SelectStoreSource(val peer: Endpoint?) : SessionEffect
 
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ConfigurationFreshness.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ConfigurationFreshness.kt
@@ -43,5 +43,7 @@
             "source" to (reduction.state.fleet.source.peer ?: "store"),
         )
         reduction.emit(SessionEffect.VerifyConfiguration)
+        // The servers are read from the same source, so what is known of them may be as old.
+        reduction.emit(SessionEffect.ReadServers)
     }
 }
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/ConfigurationFreshnessTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/ConfigurationFreshnessTest.kt
@@ -5,6 +5,7 @@
 import dev.hibiscusreach.sessions.event.SessionEvent
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
@@ -42,6 +43,13 @@
         expectThat(verificationsWithin(BOUND_MILLIS).first()).isLessThan(BOUND_MILLIS - ANSWER_MILLIS)
     }
 
+    @Test
+    fun `the servers are read at the store as well - guards against work for servers that have left meanwhile`() {
+        confirm()
+        proxy.advanceTime(BOUND_MILLIS - ANSWER_MILLIS)
+        expectThat(proxy.takeEffects()).contains(SessionEffect.ReadServers)
+    }
+
     @Test
     fun `a peer that answers with old knowledge does not keep the proxy from asking the store`() {
         confirm()
