--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ConfigurationFreshness.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ConfigurationFreshness.kt
@@ -31,7 +31,14 @@
     private fun isVerifiedLately(reduction: Reduction): Boolean {
         val verifiedAt = reduction.state.configurationVerifiedAt
         if (verifiedAt == null) reduction.state = reduction.state.copy(configurationVerifiedAt = reduction.now)
-        return verifiedAt == null || reduction.now - verifiedAt < reduction.settings.configuration.verificationPause
+        return verifiedAt == null || reduction.now - verifiedAt < pause(reduction)
+    }
+
+    // All hosts ask in an outage of the store, whose rate of calls does not grow with the fleet.
+    private fun pause(reduction: Reduction): Millis {
+        val settings = reduction.settings.configuration
+        val hosts = reduction.state.fleet.members.size
+        return maxOf(settings.verificationPause, Millis(hosts * settings.verificationPausePerHost.value))
     }
 
     private fun verify(reduction: Reduction) {
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/ConfigurationFreshnessTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/ConfigurationFreshnessTest.kt
@@ -82,6 +82,13 @@
         expectThat(verificationsWithin(6_000).size).isEqualTo(4)
     }
 
+    @Test
+    fun `in a large fleet each host asks less often - guards against more calls in an outage than the store accepts`() {
+        val large = ProxyFixture(proxies = 1_300).ready()
+        large.advanceTime(10_000)
+        expectThat(large.takeEffects().count { it == SessionEffect.VerifyConfiguration }).isEqualTo(3)
+    }
+
     @Test
     fun `a proxy that has read no configuration asks again`() {
         val started = ProxyFixture()
