--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
@@ -33,7 +33,7 @@
     val ageLimit: Millis = 2400.milliseconds,
     /** Pause before the store is asked again; longer than the time allowed for its answer. */
     val verificationPause: Millis = 1.seconds,
-    /** The pause is at least this long for each registered host: with two calls a pause, 1,000 calls a second in all. */
+    /** The pause is at least this long for each registered host, so that all hosts make 1,000 calls a second. */
     val verificationPausePerHost: Millis = 2.milliseconds,
 )
 
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/freshness/ConfigurationFreshnessTest.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/freshness/ConfigurationFreshnessTest.kt
@@ -11,7 +11,7 @@
 class ConfigurationFreshnessTest {
     @ParameterizedTest
     @ValueSource(longs = [1, 2])
-    fun `each host in touch has each version in force in time - guards against versions that wait for a source of reads`(
+    fun `each host in touch has each version in force in time - guards against waits for a source of reads`(
         seed: Long,
         @TempDir folder: Path,
     ) {
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/freshness/FreshnessSoak.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/freshness/FreshnessSoak.kt
@@ -12,6 +12,7 @@
 import java.nio.file.Path
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.concurrent.thread
 import kotlin.io.path.createDirectories
 import kotlin.random.Random
@@ -56,12 +57,13 @@
     private fun play(fleet: ProxyFleet, servers: LineServerGroup): FreshnessSoakReport {
         val configuration = StopConfiguration(fleet.store, STATEMENT_TIMEOUT_MILLIS, servers.servers)
         disturbances.during(null, "start") { fleet.start() }
-        var ended = false
+        val ended = AtomicBoolean()
         val probes = fleet.nodes.map { VersionProbe(it, fleet.callerPort(it), configuration, late) }
-        val threads = (callers(fleet).map { it::run } + probes.map { it::run }).map { thread { it { ended } } }
+        val clients = callers(fleet).map { it::run } + probes.map { it::run }
+        val threads = clients.map { run -> thread { run(ended::get) } }
         val end = System.nanoTime() + TimeUnit.SECONDS.toNanos(options.seconds)
         val versions = FreshnessDisruptions(fleet, configuration, disturbances, random).run(end)
-        ended = true
+        ended.set(true)
         threads.forEach(Thread::join)
         return FreshnessSoakReport(probes.sumOf { it.requests }, versions, disturbances.count, findings(configuration))
     }
@@ -70,7 +72,8 @@
         val databases = StopConfiguration.DATABASES.keys.toList()
         return fleet.nodes.mapIndexed { number, node ->
             val target = CallerTarget(node, fleet.callerPort(node), databases[number % databases.size])
-            StopCaller(target, CallerStyle.entries[number % CallerStyle.entries.size], ledger, Random(random.nextLong()))
+            val style = CallerStyle.entries[number % CallerStyle.entries.size]
+            StopCaller(target, style, ledger, Random(random.nextLong()))
         }
     }
 
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/ProxyFleet.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/ProxyFleet.kt
@@ -94,7 +94,8 @@
         return """
             {"node":"${proxy.node}","failureDomain":"${proxy.domain}","regions":{$regions},"callerAddress":"$caller",
             "operationsAddress":"$operations","peerAddress":"$peer",
-            "storeAddress":"127.0.0.1:${relays.getValue(proxy.node).port}","promotionAddress":"${store.endpoint}","descriptorLimit":4300}
+            "storeAddress":"127.0.0.1:${pathToStore(proxy.node).port}",
+            "promotionAddress":"${store.endpoint}","descriptorLimit":4300}
         """.trimIndent()
     }
 
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/StopConfiguration.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/StopConfiguration.kt
@@ -29,7 +29,7 @@
     /** When [version] was confirmed. */
     fun confirmationOf(version: Int): Long = confirmedAt.entries.first { it.value == version }.key
 
-    /** Writes the next version, which adds a route that no caller uses, and removes one that an earlier version added. */
+    /** Writes the next version, which adds a route that no caller uses and removes one of an earlier version. */
     @Synchronized
     fun change() {
         version++
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/StopSoak.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/StopSoak.kt
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.concurrent.thread
 import kotlin.io.path.createDirectories
 import kotlin.random.Random
@@ -41,12 +42,12 @@
     private fun play(fleet: ProxyFleet, servers: LineServerGroup) {
         val configuration = StopConfiguration(fleet.store, options.statementTimeoutMillis, servers.servers)
         fleet.start()
-        var ended = false
-        val callers = callers(fleet).map { thread { it.run { ended } } }
+        val ended = AtomicBoolean()
+        val callers = callers(fleet).map { thread { it.run(ended::get) } }
         Thread.sleep(WARM_UP_MILLIS)
         val end = System.nanoTime() + TimeUnit.SECONDS.toNanos(options.seconds)
         StopDisruptions(fleet, configuration, stops, random).run(end)
-        ended = true
+        ended.set(true)
         callers.forEach(Thread::join)
     }
 
