--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
@@ -29,7 +29,7 @@
 
 /** Limits on the age of what is known of the configuration, so that a version is in force within 3 s. */
 data class ConfigurationSettings(
-    /** Age above which the store itself is asked; above that of two watches and a pause, which are answered in time. */
+    /** Age above which the store itself is asked; what a peer tells is up to two watches and a pause old. */
     val ageLimit: Millis = 2400.milliseconds,
     /** Pause before the store is asked again; longer than the time allowed for its answer. */
     val verificationPause: Millis = 1.seconds,
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/ConfigurationFreshnessTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/ConfigurationVerificationTest.kt
@@ -15,7 +15,7 @@
  * A proxy whose source of reads no longer tells it anything new. Guards against hosts that act by an old version of the
  * configuration until a source works again.
  */
-class ConfigurationFreshnessTest {
+class ConfigurationVerificationTest {
     private val proxy =
         ProxyFixture().ready().apply {
             repeat(2) {
@@ -27,7 +27,7 @@
     private fun confirm(ageMillis: Long = 0) =
         proxy.feed(SessionEvent.ConfigurationConfirmed(MonotonicTime(proxy.now - ageMillis)))
 
-    /** The times after the start of the step at which the store itself is asked. */
+    /** The times from now at which the store itself is asked. */
     private fun verificationsWithin(millis: Long): List<Long> {
         val start = proxy.now
         proxy.takeEffects()
