Log the answers to fence requests and why fencing is complete

Now the changing proxy logs each outcome of a fence request that differs from the one before, and at the end of the phase its reason with the last outcome of each peer.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEvent.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEvent.kt
@@ -146,6 +146,14 @@
 
 /** Outcome of a request to a peer. */
 sealed interface PeerOutcome {
+    /** The outcome as it stands in log lines. */
+    val description: String
+        get() = when (this) {
+            is Answered -> "answered"
+            NotRunning -> "refused"
+            Silent -> "silent"
+        }
+
     /** The peer answered. */
     data class Answered(val answer: PeerAnswer) : PeerOutcome
 
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangeFencing.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangeFencing.kt
@@ -31,8 +31,12 @@
         val confirmed = change.membersRead && change.unfenced.isEmpty() && expulsionWait.value == 0L
         val leasesExpired = reduction.now > recordedAt + reduction.settings.leases.duration
         when {
-            settled && confirmed -> SuccessorPromotion.inspectServers(reduction, group, change)
+            settled && confirmed -> {
+                logCompletion(reduction, group, change, "all confirmed")
+                SuccessorPromotion.inspectServers(reduction, group, change)
+            }
             settled && leasesExpired -> {
+                logCompletion(reduction, group, change, "leases expired")
                 // A proxy whose lease has expired must register again before it may use primaries.
                 ProxyExpulsion.expel(reduction, change.unfenced)
                 SuccessorPromotion.inspectServers(reduction, group, change)
@@ -52,7 +56,13 @@
             val awaitsMembers = change?.phase == ChangePhase.FENCING && !change.membersRead
             if (awaitsMembers && recordedAt != null && sentAt >= recordedAt) {
                 val added = GroupHomes.otherEndpoints(reduction, group.name) - change.asked
-                val next = change.copy(membersRead = true, unfenced = change.unfenced + added, requestsSentAt = null)
+                val next =
+                    change.copy(
+                        membersRead = true,
+                        unfenced = change.unfenced + added,
+                        asked = change.asked + added,
+                        requestsSentAt = null,
+                    )
                 reduction.put(group.copy(change = next))
             }
         }
@@ -62,14 +72,44 @@
     fun handleFenceAnswer(reduction: Reduction, event: SessionEvent.PeerAnswered, request: PeerRequest.Fence) {
         val group = reduction.group(GroupName(request.group))
         val change = group.change ?: return
+        if (change.phase != ChangePhase.FENCING || group.record?.epoch != request.epoch) return
+        logAnswer(reduction, group, change, event)
         val confirmed = event.outcome !is PeerOutcome.Silent
-        if (confirmed && change.phase == ChangePhase.FENCING && group.record?.epoch == request.epoch) {
-            val next = group.copy(change = change.copy(unfenced = change.unfenced - event.peer))
-            reduction.put(next)
-            PrimaryChanges.advance(reduction, group.name)
-        }
+        val unfenced = if (confirmed) change.unfenced - event.peer else change.unfenced
+        val outcomes = change.fenceOutcomes + (event.peer to event.outcome)
+        reduction.put(group.copy(change = change.copy(unfenced = unfenced, fenceOutcomes = outcomes)))
+        if (confirmed) PrimaryChanges.advance(reduction, group.name)
     }
 
+    // Requests are repeated, so only an outcome that differs from the previous one is logged.
+    private fun logAnswer(
+        reduction: Reduction,
+        group: GroupView,
+        change: PrimaryChange,
+        event: SessionEvent.PeerAnswered,
+    ) {
+        if (change.fenceOutcomes[event.peer] == event.outcome) return
+        reduction.log(
+            "fence answered",
+            "group" to group.name,
+            "epoch" to group.record?.epoch,
+            "peer" to event.peer,
+            "outcome" to event.outcome.description,
+            "millis" to change.recordedAt?.let { (reduction.now - it).value },
+        )
+    }
+
+    private fun logCompletion(reduction: Reduction, group: GroupView, change: PrimaryChange, reason: String) =
+        reduction.log(
+            "fencing completed",
+            "group" to group.name,
+            "epoch" to group.record?.epoch,
+            "reason" to reason,
+            "outcomes" to change.asked.joinToString(" ") { "$it=${change.fenceOutcomes[it]?.description}" },
+            "unconfirmed" to change.unfenced.size,
+            "millis" to change.recordedAt?.let { (reduction.now - it).value },
+        )
+
     private fun requestFence(reduction: Reduction, group: GroupView, change: PrimaryChange) {
         val epoch = group.record?.epoch ?: return
         reduction.put(group.copy(change = change.copy(requestsSentAt = reduction.now)))
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/GroupView.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/GroupView.kt
@@ -93,7 +93,9 @@
     val recordedAt: MonotonicTime? = null,
     /** Peers that have not confirmed the fence. */
     val unfenced: Set<Endpoint> = emptySet(),
-    /** Peers that were known when the fence began. */
+    /** The latest outcome of a fence request to each peer that was asked. */
+    val fenceOutcomes: Map<Endpoint, PeerOutcome> = emptyMap(),
+    /** Peers that are asked to fence the primary. */
     val asked: Set<Endpoint> = emptySet(),
     /** Whether the registered proxies were read after the write of [intent]. */
     val membersRead: Boolean = false,
