Reproduce writes and reads at a replaced primary beside cuts with resets

The stand-in servers of the soaks have logs and terms now and can be promoted and crash; proxies reach their peers through relays that can cut a host off, silently or with resets, while it keeps its connections to callers and servers.

--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/processes/LoopbackRelay.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/processes/LoopbackRelay.kt
@@ -20,6 +20,9 @@
     @Volatile
     private var held = false
 
+    @Volatile
+    private var resetting = false
+
     /** The port at which connections are accepted. */
     val port: Int get() = listener.localPort
 
@@ -32,8 +35,15 @@
         held = true
     }
 
+    /** Resets all connections, also new ones, until [release]. */
+    fun reset() {
+        resetting = true
+        links.forEach(::reset)
+    }
+
     fun release() {
         held = false
+        resetting = false
     }
 
     /** Loses all further bytes of the open connections, which stay open. New connections work. */
@@ -50,6 +60,7 @@
                 val near = listener.accept()
                 val link = Link(near, Socket(InetAddress.getLoopbackAddress(), target))
                 links += link
+                if (resetting) reset(link)
                 thread(isDaemon = true) { pump(link, link.near, link.far) }
                 thread(isDaemon = true) { pump(link, link.far, link.near) }
             } catch (_: IOException) {
@@ -73,6 +84,11 @@
         if (!link.lost || from === link.near) end(link)
     }
 
+    private fun reset(link: Link) {
+        listOf(link.near, link.far).forEach { it.setSoLinger(true, 0) }
+        end(link)
+    }
+
     private fun end(link: Link) {
         links -= link
         link.near.close()
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/LineServerGroup.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/LineServerGroup.kt
@@ -1,48 +1,78 @@
 package dev.hibiscusreach.systemtests.stops
 
+import dev.hibiscusreach.systemtests.processes.FreePorts
 import java.io.IOException
 import java.net.InetAddress
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
-import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.concurrent.thread
 import kotlin.random.Random
 
 /** How long the statements of a run take at servers: all are short, or some are slow. */
 internal enum class Workload { SHORT, SOME_SLOW }
 
-/** Stand-in of a primary and two replicas without lag, which speak the platform's line protocol. */
+/** Stand-in of a primary and two replicas, which speak the platform's line protocol. */
 internal class LineServerGroup(
     val workload: Workload,
     private val ledger: StatementLedger,
     private val owners: ConnectionOwners,
 ) : AutoCloseable {
-    private val commits = AtomicLong(1)
-    val servers = List(SERVERS) { LineServer("i-${it + 1}", isPrimary = it == 0) }
+    private val names = List(SERVERS) { "i-${it + 1}" }
+    val log = ReplicatedLog(names)
+    val servers = names.map(::LineServer)
 
     override fun close() = servers.forEach { it.close() }
 
     /** One server; a thread for each connection. */
-    inner class LineServer(val name: String, val isPrimary: Boolean) : AutoCloseable {
-        private val socket = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
-        val port: Int get() = socket.localPort
+    inner class LineServer(val name: String) : AutoCloseable {
+        val port = FreePorts.choose(1).single()
+        private val connections = ConcurrentHashMap.newKeySet<Socket>()
+
+        @Volatile
+        private var socket = listen()
+        val isPrimary: Boolean get() = log.isPrimary(name)
+        val isRunning: Boolean get() = !socket.isClosed
+
+        /** Ends the server and its connections. */
+        fun crash() {
+            socket.close()
+            connections.forEach(Socket::close)
+        }
 
-        init {
-            thread(isDaemon = true, name = name) { accept() }
+        /** Starts the server again after a [crash]. */
+        fun start() {
+            log.restart(name)
+            socket = listen()
         }
 
-        override fun close() = socket.close()
+        override fun close() = crash()
+
+        private fun listen(): ServerSocket {
+            val opened = ServerSocket()
+            opened.reuseAddress = true
+            opened.bind(InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG)
+            thread(isDaemon = true, name = name) { accept(opened) }
+            return opened
+        }
 
-        private fun accept() {
-            while (!socket.isClosed) {
+        private fun accept(listener: ServerSocket) {
+            while (!listener.isClosed) {
                 try {
-                    val connection = socket.accept()
-                    thread(isDaemon = true) { connection.use { ServerSession(this, it).serve() } }
+                    val connection = listener.accept()
+                    connections += connection
+                    thread(isDaemon = true) { serve(connection) }
                 } catch (_: IOException) {
-                    // The server was closed.
+                    // The server has ended.
                 }
             }
         }
+
+        private fun serve(connection: Socket) {
+            connection.use { ServerSession(this, it).serve() }
+            connections -= connection
+        }
     }
 
     private inner class ServerSession(private val server: LineServer, private val connection: Socket) {
@@ -50,7 +80,8 @@
         private val reader = connection.getInputStream().bufferedReader()
         private val writes = mutableListOf<String>()
         private var state = "I"
-        private val position get() = "1.${commits.get()}"
+        private var writesAllowed = false
+        private val position get() = log.position(server.name)
 
         fun serve() {
             try {
@@ -69,43 +100,72 @@
         private fun send(text: String) = connection.getOutputStream().write(text.encodeToByteArray())
 
         private fun answer(identifier: String, sent: String): String {
-            val text = if (sent.startsWith("WAITLSN ")) sent.split(' ', limit = 3)[2] else sent
+            val awaited = sent.takeIf { it.startsWith("WAITLSN ") }?.split(' ', limit = 3)
+            val text = awaited?.get(2) ?: sent
             val word = text.substringBefore(' ')
             return when {
-                !server.isPrimary && (text == "BEGIN" || word == "WRITE") -> "ERROR READONLY ${server.name}\r\n"
+                state == "E" && word != "ROLLBACK" -> failed(word)
+                awaited != null && !log.reaches(server.name, awaited[1]) -> "ERROR LAGGING ${server.name}\r\n"
+                !server.isPrimary && needsPrimary(text) -> readOnly()
                 word in WORK -> run(identifier, word)
-                word == "STATUS" -> status()
+                word in COMMANDS -> command(text)
                 else -> {
-                    if (word == "BEGIN") state = "T"
+                    if (word == "BEGIN") begin(text)
                     if (word == "ROLLBACK") end()
                     "COMPLETE -\r\n"
                 }
             }
         }
 
-        private fun status(): String {
+        private fun needsPrimary(text: String): Boolean {
+            val commitsNothing = text == "COMMIT" && writes.isEmpty()
+            val isInTransaction = writesAllowed && state == "T" && text != "ROLLBACK"
+            return text == "BEGIN" || text.startsWith("WRITE") || isInTransaction && !commitsNothing
+        }
+
+        private fun readOnly(): String {
+            if (state == "T") state = "E"
+            return "ERROR READONLY ${server.name}\r\n"
+        }
+
+        // A failed transaction ends with its COMMIT, which keeps nothing.
+        private fun failed(word: String): String {
+            if (word != "COMMIT") return "ERROR MALFORMED the transaction failed\r\n"
+            end()
+            return "ERROR ABORTED the transaction failed\r\n"
+        }
+
+        private fun begin(text: String) {
+            state = "T"
+            writesAllowed = text == "BEGIN"
+        }
+
+        private fun command(text: String): String {
+            if (text.startsWith("STEPDOWN ")) log.stepDown(server.name, text.substringAfter(' ').toLong())
             val role = if (server.isPrimary) "primary" else "replica"
-            return "ROW $role 1 $position 1 0 0 1\r\nCOMPLETE -\r\n"
+            val term = log.term(server.name)
+            return "ROW $role $term $position $term 0 0 1\r\nCOMPLETE -\r\n"
         }
 
         private fun run(identifier: String, word: String): String {
             ledger.ran(identifier, StatementRun(server.name, owner))
             Thread.sleep(workMillis(identifier))
-            when {
-                word == "COMMIT" -> {
-                    (writes + identifier).forEach(::commit)
-                    end()
+            val isWrite = word == "WRITE"
+            val isCommitted =
+                when {
+                    word == "COMMIT" -> writes.isEmpty() || commit(writes + identifier)
+                    isWrite && state == "T" -> writes.add(identifier)
+                    else -> !isWrite || commit(listOf(identifier))
                 }
-                word == "WRITE" && state == "T" -> writes += identifier
-                word == "WRITE" -> commit(identifier)
-            }
+            if (word == "COMMIT") end()
             val row = if (word == "READ") "ROW value\r\n" else ""
-            return "${row}COMPLETE ${StopFindings.proofOf(identifier)}\r\n"
+            return if (isCommitted) "${row}COMPLETE ${StopFindings.proofOf(identifier)}\r\n" else readOnly()
         }
 
-        private fun commit(identifier: String) {
-            commits.incrementAndGet()
-            ledger.committed(identifier)
+        private fun commit(identifiers: List<String>): Boolean {
+            val commit = log.commit(server.name, identifiers.last()) ?: return false
+            identifiers.forEach { ledger.committed(it, commit) }
+            return true
         }
 
         private fun end() {
@@ -124,6 +184,9 @@
     private companion object {
         /** The statements that take time at a server. */
         val WORK = setOf("READ", "WRITE", "COMMIT")
+
+        /** Commands of proxies that are answered with the status. */
+        val COMMANDS = setOf("STATUS", "STEPDOWN", "PAUSE", "RESUME")
         const val SERVERS = 3
         const val BACKLOG = 200
         const val SHORT_MILLIS = 11L
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/ProxyFleet.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/ProxyFleet.kt
@@ -1,5 +1,6 @@
 package dev.hibiscusreach.systemtests.stops
 
+import dev.hibiscusreach.core.model.Endpoint
 import dev.hibiscusreach.platform.StoreStandIn
 import dev.hibiscusreach.systemtests.processes.ChildProcesses
 import dev.hibiscusreach.systemtests.processes.FreePorts
@@ -23,6 +24,10 @@
     count: Int,
     classPath: String?,
     private val domains: Int = 1,
+    /** Where promotions are requested; null if no server is promoted. */
+    private val promotions: Endpoint? = null,
+    /** Whether the proxies reach each other through relays, so that they can be cut off from each other. */
+    relaysPeers: Boolean = false,
 ) : AutoCloseable {
     private class Proxy(val node: String, val ports: List<Int>, val domain: String)
 
@@ -37,6 +42,10 @@
     private val relays = proxies.mapValues { LoopbackRelay(store.endpoint.port) }
     private val running = ConcurrentHashMap<String, Process>()
 
+    /** The paths between the proxies; null if they reach each other directly. */
+    val peerPaths: PeerPaths? =
+        if (relaysPeers) PeerPaths(proxies.mapValues { it.value.ports.last() }) { processNumbers } else null
+
     val nodes: Set<String> get() = proxies.keys
 
     /** The processes that were started last, by node. */
@@ -85,17 +94,20 @@
     override fun close() {
         processes.close()
         relays.values.forEach(LoopbackRelay::close)
+        peerPaths?.close()
         store.close()
     }
 
     private fun settings(proxy: Proxy): String {
         val regions = (0 until domains).joinToString { """"${domainOf(it)}":"west"""" }
         val (caller, operations, peer) = proxy.ports.map { "127.0.0.1:$it" }
+        val advertised = peerPaths?.let { "127.0.0.1:${it.port(proxy.node)}" } ?: peer
         return """
             {"node":"${proxy.node}","failureDomain":"${proxy.domain}","regions":{$regions},"callerAddress":"$caller",
             "operationsAddress":"$operations","peerAddress":"$peer",
+            "advertisedPeerAddress":"$advertised",
             "storeAddress":"127.0.0.1:${pathToStore(proxy.node).port}",
-            "promotionAddress":"${store.endpoint}","descriptorLimit":4300}
+            "promotionAddress":"${promotions ?: store.endpoint}","descriptorLimit":4300}
         """.trimIndent()
     }
 
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/StatementLedger.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/StatementLedger.kt
@@ -31,24 +31,54 @@
 /** A run of a statement at [server], which the host [owner] of the connection sent there. */
 internal data class StatementRun(val server: String, val owner: Future<String>)
 
+/** Is told what callers and servers see of statements, as it happens and on their threads. */
+internal interface StatementObserver {
+    /** A caller is about to send [statement]. */
+    fun sent(statement: SentStatement) = Unit
+
+    /** The server [server] got the statement [identifier]. */
+    fun ran(identifier: String, server: String) = Unit
+
+    /** The write [identifier] took effect with [commit]. */
+    fun committed(identifier: String, commit: Commit) = Unit
+
+    /** A caller has the complete answer to [statement]. */
+    fun answered(statement: SentStatement, outcome: StatementOutcome.Answered) = Unit
+
+    /** Ignores everything. */
+    object None : StatementObserver
+}
+
 /** What callers and servers have seen of each statement. */
-internal class StatementLedger {
+internal class StatementLedger(private val observer: StatementObserver = StatementObserver.None) {
     private val sent = ConcurrentLinkedQueue<SentStatement>()
     private val runs = ConcurrentHashMap<String, List<StatementRun>>()
     private val commits = ConcurrentHashMap<String, Int>()
 
     val statements: List<SentStatement> get() = sent.toList()
 
-    fun add(statement: SentStatement) = sent.add(statement)
+    /** Records a statement that is about to be sent. */
+    fun add(statement: SentStatement) {
+        sent.add(statement)
+        observer.sent(statement)
+    }
+
+    /** Records the complete answer to [statement]. */
+    fun answered(statement: SentStatement, outcome: StatementOutcome.Answered) {
+        statement.outcome = outcome
+        observer.answered(statement, outcome)
+    }
 
     /** Records that a server got the statement. */
     fun ran(identifier: String, run: StatementRun) {
         runs.merge(identifier, listOf(run)) { before, added -> before + added }
+        observer.ran(identifier, run.server)
     }
 
-    /** Records that the write [identifier] took effect. */
-    fun committed(identifier: String) {
+    /** Records that the write [identifier] took effect with [commit]. */
+    fun committed(identifier: String, commit: Commit) {
         commits.merge(identifier, 1, Int::plus)
+        observer.committed(identifier, commit)
     }
 
     fun runsOf(identifier: String): List<StatementRun> = runs[identifier].orEmpty()
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/StopCaller.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/StopCaller.kt
@@ -105,7 +105,7 @@
                     "ERROR" -> code = words[1]
                     "COMPLETE" -> proof = words[1]
                     "READY" -> {
-                        statement.outcome = StatementOutcome.Answered(code, proof)
+                        ledger.answered(statement, StatementOutcome.Answered(code, proof))
                         if (code != null) Thread.sleep(REFUSAL_PAUSE_MILLIS)
                         return words[1]
                     }
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/StopConfiguration.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/StopConfiguration.kt
@@ -13,16 +13,20 @@
     private val confirmedAt = ConcurrentSkipListMap<Long, Int>()
 
     init {
-        servers.forEach { server ->
-            val role = if (server.isPrimary) "primary" else "replica"
-            val entry =
-                """{"service":"$GROUP","address":"127.0.0.1:${server.port}","zone":"yard","version":"v1",""" +
-                    """"capacity":64,"phase":"ready","cold_remaining_ms":0,"db_role":"$role","sequence":1,"born":1}"""
-            store.put("servers", server.name, entry)
-        }
+        servers.forEach { register(it) }
         change()
     }
 
+    /** Writes the entry of [server], which is leaving or not, and has started for the time [start]. */
+    fun register(server: LineServerGroup.LineServer, leaving: Boolean = false, start: Int = 1) {
+        val role = if (server.isPrimary) "primary" else "replica"
+        val phase = if (leaving) "draining" else "ready"
+        val entry =
+            """{"service":"$GROUP","address":"127.0.0.1:${server.port}","zone":"yard","version":"v1",""" +
+                """"capacity":64,"phase":"$phase","cold_remaining_ms":0,"db_role":"$role","sequence":1,"born":$start}"""
+        store.put("servers", server.name, entry)
+    }
+
     /** The newest version that was confirmed before a time of [System.nanoTime]; the first one if there is none. */
     fun newestConfirmed(before: Long): Int = confirmedAt.headMap(before).lastEntry()?.value ?: FIRST_VERSION
 
@@ -59,8 +63,11 @@
         fun removedBy(version: Int): String? =
             (version - KEPT_VERSIONS).takeIf { it >= FIRST_VERSION }?.let(::databaseOf)
 
+        /** The database whose reads run at the primary. */
+        const val PRIMARY_DATABASE = "signoffs"
+
         /** The databases of callers, with the consistency of their reads. */
         val DATABASES =
-            mapOf("signoffs" to "primary", "status" to "bounded_staleness", "quotes" to "read_your_writes")
+            mapOf(PRIMARY_DATABASE to "primary", "status" to "bounded_staleness", "quotes" to "read_your_writes")
     }
 }
