Count only an answer of a home as its confirmed fence

Cause: a refused connection was reported as a peer that doesn't run. A change of primary took that as a confirmed fence. The same sign let a proxy take a change over at once from one that still ran, and left refusing homes out of the count when a primary was suspected.

Change: a refused connection is an outcome of its own that shows nothing about the process. Only an answer confirms a fence; without one the change waits for the lease. Refusing homes count as homes, and a change is taken over after the usual time.

--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/SocketConnector.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/SocketConnector.kt
@@ -37,7 +37,7 @@
             .connect(InetSocketAddress(endpoint.address, endpoint.port))
     }
 
-    /** Why the connection attempt failed; null if it succeeded. Only REFUSED proves that nothing listens there. */
+    /** Why the connection attempt failed; null if it succeeded. After REFUSED nothing has reached the other side. */
     fun failure(connecting: ChannelFuture): ConnectionFailure? =
         when (connecting.cause()) {
             null -> null
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEvent.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEvent.kt
@@ -150,15 +150,15 @@
     val description: String
         get() = when (this) {
             is Answered -> "answered"
-            NotRunning -> "refused"
+            Refused -> "refused"
             Silent -> "silent"
         }
 
     /** The peer answered. */
     data class Answered(val answer: PeerAnswer) : PeerOutcome
 
-    /** The peer's host refuses connections, so no process of that peer runs. */
-    data object NotRunning : PeerOutcome
+    /** The connection was refused. A cut between hosts can look the same, so the peer may still run. */
+    data object Refused : PeerOutcome
 
     /** No answer in time. */
     data object Silent : PeerOutcome
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangeFencing.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangeFencing.kt
@@ -5,6 +5,7 @@
 import dev.hibiscusreach.sessions.event.SessionEffect
 import dev.hibiscusreach.sessions.event.SessionEvent
 import dev.hibiscusreach.sessions.model.GroupName
+import dev.hibiscusreach.sessions.model.PeerAnswer
 import dev.hibiscusreach.sessions.model.PeerRequest
 import dev.hibiscusreach.sessions.state.ChangePhase
 import dev.hibiscusreach.sessions.state.GroupView
@@ -74,7 +75,7 @@
         val change = group.change ?: return
         if (change.phase != ChangePhase.FENCING || group.record?.epoch != request.epoch) return
         logAnswer(reduction, group, change, event)
-        val confirmed = event.outcome !is PeerOutcome.Silent
+        val confirmed = (event.outcome as? PeerOutcome.Answered)?.answer == PeerAnswer.Done
         val unfenced = if (confirmed) change.unfenced - event.peer else change.unfenced
         val outcomes = change.fenceOutcomes + (event.peer to event.outcome)
         reduction.put(group.copy(change = change.copy(unfenced = unfenced, fenceOutcomes = outcomes)))
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangeTakeover.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangeTakeover.kt
@@ -43,8 +43,7 @@
             .filter { changerEndpoint(reduction, it) == event.peer }
             .forEach { group ->
                 when (val outcome = event.outcome) {
-                    PeerOutcome.NotRunning -> PrimaryChanges.begin(reduction, group.name, ChangeReason.ABANDONED)
-                    PeerOutcome.Silent -> Unit
+                    PeerOutcome.Refused, PeerOutcome.Silent -> Unit
                     is PeerOutcome.Answered ->
                         if (outcome.answer is PeerAnswer.Done) reduction.put(group.copy(changerSeenAt = reduction.now))
                 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryFailureDetection.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryFailureDetection.kt
@@ -120,23 +120,23 @@
             reduction.now - askedAt > reduction.settings.changes.sightingTimeout
     }
 
-    // Proxies that do not answer may still reach the primary and use it until their leases expire. The primary is
-    // replaced earlier only if a majority of the running homes is known not to reach it.
+    // Proxies that do not answer, or refuse the connection, may still reach the primary and use it until their leases
+    // expire. The primary is replaced earlier only if a majority of the homes is known not to reach it.
     private fun decide(reduction: Reduction, group: GroupView, suspicion: Suspicion) {
         val outcomes = suspicion.reports.values
         val answers = outcomes.mapNotNull { (it as? PeerOutcome.Answered)?.answer as? PeerAnswer.Seen }
         val maxAge = reduction.settings.changes.sightingMaxAge.value
         val reached = answers.count { sighting -> sighting.ageMillis?.let { it < maxAge } ?: false }
         val notReached = answers.size - reached + 1
-        val running = suspicion.asked.size - outcomes.count { it is PeerOutcome.NotRunning } + 1
+        val homes = suspicion.asked.size + 1
         val leasesExpired = reduction.now - suspicion.since > reduction.settings.leases.duration
-        val replaces = notReached * 2 > running || leasesExpired && notReached > reached
+        val replaces = notReached * 2 > homes || leasesExpired && notReached > reached
         reduction.log(
             "primary sightings",
             "group" to group.name,
             "reached" to reached,
             "notReached" to notReached,
-            "running" to running,
+            "homes" to homes,
             "replaces" to replaces,
         )
         if (replaces) {
