Don't wait in a change of primary for proxies that have removed their records

A proxy that exits gracefully deletes its record as its last act, and one that is no home of a group any more has removed the group from its record after its last use. While a refused connection counted as a confirmation, a change that had asked such a proxy went on at once; now it waited for the lease of a process that had ended in order. Each read of the records in the fencing phase drops these proxies. Expelled proxies stay, since they may still use the primary under their leases.

PrimaryChangeTest: 'a proxy that has removed its record is not waited for' fails before and passes after; 'a proxy that another one expels is still waited for' holds on both.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangeFencing.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangeFencing.kt
@@ -1,9 +1,11 @@
 package dev.hibiscusreach.sessions.part
 
+import dev.hibiscusreach.core.model.Endpoint
 import dev.hibiscusreach.core.model.MonotonicTime
 import dev.hibiscusreach.sessions.event.PeerOutcome
 import dev.hibiscusreach.sessions.event.SessionEffect
 import dev.hibiscusreach.sessions.event.SessionEvent
+import dev.hibiscusreach.sessions.model.FleetRecord
 import dev.hibiscusreach.sessions.model.GroupName
 import dev.hibiscusreach.sessions.model.PeerAnswer
 import dev.hibiscusreach.sessions.model.PeerRequest
@@ -47,28 +49,39 @@
     }
 
     /**
-     * Adds the homes from a store read that was sent at [sentAt], if that was after the intent was recorded. A proxy
-     * whose record names the group only later uses the primary after a read that shows its record and the intent.
+     * Handles a store read that was sent at [sentAt], if that was after the intent was recorded. The first one adds
+     * homes: a proxy whose record names the group only later uses the primary after a read that shows its record and the
+     * intent. A proxy that removes its record, or the group from it, has stopped using the primary before.
      */
     fun handleMembersRead(reduction: Reduction, sentAt: MonotonicTime) {
         for (group in reduction.state.groups.values) {
-            val change = group.change
-            val recordedAt = change?.recordedAt
-            val awaitsMembers = change?.phase == ChangePhase.FENCING && !change.membersRead
-            if (awaitsMembers && recordedAt != null && sentAt >= recordedAt) {
-                val added = GroupHomes.otherEndpoints(reduction, group.name) - change.asked
-                val next =
+            val change = group.change?.takeIf { it.phase == ChangePhase.FENCING } ?: continue
+            if (change.recordedAt?.let { sentAt >= it } != true) continue
+            val recorded = change.unfenced intersect recordedHomes(reduction, group)
+            val next =
+                if (change.membersRead) {
+                    change.copy(unfenced = recorded)
+                } else {
+                    val added = GroupHomes.otherEndpoints(reduction, group.name) - change.asked
                     change.copy(
                         membersRead = true,
-                        unfenced = change.unfenced + added,
+                        unfenced = recorded + added,
                         asked = change.asked + added,
                         requestsSentAt = null,
                     )
-                reduction.put(group.copy(change = next))
-            }
+                }
+            if (next != change) reduction.put(group.copy(change = next))
         }
     }
 
+    // Expelled homes may still use the primary under their leases.
+    private fun recordedHomes(reduction: Reduction, group: GroupView): Set<Endpoint> =
+        reduction.state.fleet.records.values
+            .mapNotNull { it.record as? FleetRecord.Proxy }
+            .filter { it.isHomeOf(group.name) }
+            .map { it.peerEndpoint }
+            .toSet()
+
     /** Handles a peer's answer to a fence request. */
     fun handleFenceAnswer(reduction: Reduction, event: SessionEvent.PeerAnswered, request: PeerRequest.Fence) {
         val group = reduction.group(GroupName(request.group))
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
@@ -122,6 +122,29 @@
         expectThat(writtenKeys()).contains(FleetKey.proxy("node-3"))
     }
 
+    @Test
+    fun `a proxy that has removed its record is not waited for - guards against an outage after a graceful stop`() {
+        beginPlannedChange()
+        proxy.readFleet(proxy.records(intent))
+        confirmFence("node-2")
+        proxy.takeEffects()
+        proxy.readFleet(proxy.records(intent) - FleetKey.proxy("node-3"))
+        proxy.advanceTime(100)
+        expectThat(effects<SessionEffect.SendControl>()).isNotEmpty()
+    }
+
+    @Test
+    fun `a proxy that another one expels is still waited for - guards against a lease that no proxy waits for`() {
+        beginPlannedChange()
+        proxy.readFleet(proxy.records(intent))
+        confirmFence("node-2")
+        proxy.takeEffects()
+        val expelled = FleetRecord.Proxy(ProxyFixture.identity("node-3"), endpoint("node-3"), expelled = true)
+        proxy.readFleet(proxy.records(intent) + (FleetKey.proxy("node-3") to expelled))
+        proxy.advanceTime(8_000)
+        expectThat(effects<SessionEffect.SendControl>()).isEmpty()
+    }
+
     @Test
     fun `a promotion carries the revision of the promoter's record as its fencing token`() {
         requestPromotion()
