Reject reads that ran at a replaced primary

A replaced primary answers a plain read as a replica, so a proxy that relies on it can't tell from the rows. A read that was sent to the primary and ran at such a log is repeated, or refused as not served; its transaction is ended. Writes are left as they are: their outcome can't be taken back, and a replica refuses them.

This is a second line of defence: the fence and the lease keep a proxy from using a replaced primary.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ServerAnswers.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ServerAnswers.kt
@@ -108,7 +108,11 @@
         when (val result = answer.result) {
             is ServerAnswer.Result.Completed -> {
                 ServerHealthTracking.recordLatency(reduction, connection.server, reduction.now - sent.sentAt)
-                StatementCompletion.complete(reduction, statement, result)
+                if (PrimaryTermCheck.isOutdated(reduction, statement, sent)) {
+                    PrimaryTermCheck.reject(reduction, statement)
+                } else {
+                    StatementCompletion.complete(reduction, statement, result)
+                }
             }
             is ServerAnswer.Result.Failed ->
                 if (statement.running == null) {
