--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/primaries/PrimaryDisruptions.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/primaries/PrimaryDisruptions.kt
@@ -29,7 +29,7 @@
     /** Number of disturbances of hosts and primaries. */
     val count: Int get() = events.get()
 
-    /** One line for each host that did not become ready again. */
+    /** One line for each host that did not become ready again, and each disturbance that failed. */
     val findings = ConcurrentLinkedQueue<String>()
 
     /** Runs until [end] of [System.nanoTime], and then until all that was disturbed is undisturbed again. */
@@ -53,7 +53,7 @@
 
     private fun repeating(end: Long, pauses: LongRange, action: (Random) -> Unit): Thread {
         val own = Random(random.nextLong())
-        return thread {
+        return checked {
             while (System.nanoTime() < end) {
                 pause(pauses, own)
                 action(own)
@@ -61,6 +61,13 @@
         }
     }
 
+    // A disturbance that fails would leave out a part of the run.
+    private fun checked(action: () -> Unit): Thread {
+        val created = thread(start = false) { action() }
+        created.setUncaughtExceptionHandler { _, failure -> findings += "a disturbance failed: $failure" }
+        return created.also(Thread::start)
+    }
+
     private fun configure(random: Random) {
         configuration.change()
         fleet.nodes.filter { it !in disturbed }.randomOrNull(random)?.let { fleet.signal(it, "HUP") }
@@ -105,7 +112,7 @@
         val own = Random(random.nextLong())
         if (!disturbed.add(node)) return
         events.incrementAndGet()
-        running += thread {
+        running += checked {
             disturb(node, event, own)
             disturbed -= node
         }
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/LineServerGroup.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/LineServerGroup.kt
@@ -1,10 +1,8 @@
 package dev.hibiscusreach.systemtests.stops
 
 import dev.hibiscusreach.systemtests.processes.FreePorts
+import dev.hibiscusreach.systemtests.processes.LoopbackListener
 import java.io.IOException
-import java.net.InetAddress
-import java.net.InetSocketAddress
-import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.concurrent.thread
@@ -31,43 +29,29 @@
         private val connections = ConcurrentHashMap.newKeySet<Socket>()
 
         @Volatile
-        private var socket = listen()
+        private var listener = listen()
         val isPrimary: Boolean get() = log.isPrimary(name)
-        val isRunning: Boolean get() = !socket.isClosed
+        val isRunning: Boolean get() = !listener.isClosed
 
         /** Ends the server and its connections. */
         fun crash() {
-            socket.close()
+            listener.close()
             connections.forEach(Socket::close)
         }
 
         /** Starts the server again after a [crash]. */
         fun start() {
             log.restart(name)
-            socket = listen()
+            listener = listen()
         }
 
         override fun close() = crash()
 
-        private fun listen(): ServerSocket {
-            val opened = ServerSocket()
-            opened.reuseAddress = true
-            opened.bind(InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG)
-            thread(isDaemon = true, name = name) { accept(opened) }
-            return opened
-        }
-
-        private fun accept(listener: ServerSocket) {
-            while (!listener.isClosed) {
-                try {
-                    val connection = listener.accept()
-                    connections += connection
-                    thread(isDaemon = true) { serve(connection) }
-                } catch (_: IOException) {
-                    // The server has ended.
-                }
+        private fun listen() =
+            LoopbackListener(port) { connection ->
+                connections += connection
+                thread(isDaemon = true) { serve(connection) }
             }
-        }
 
         private fun serve(connection: Socket) {
             connection.use { ServerSession(this, it).serve() }
@@ -188,7 +172,6 @@
         /** Commands of proxies that are answered with the status. */
         val COMMANDS = setOf("STATUS", "STEPDOWN", "PAUSE", "RESUME")
         const val SERVERS = 3
-        const val BACKLOG = 200
         const val SHORT_MILLIS = 11L
         const val SLOW_PERCENT = 10
         const val PERCENT = 100
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/PeerPaths.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/PeerPaths.kt
@@ -1,10 +1,9 @@
 package dev.hibiscusreach.systemtests.stops
 
 import dev.hibiscusreach.systemtests.processes.FreePorts
+import dev.hibiscusreach.systemtests.processes.LoopbackListener
 import java.io.IOException
 import java.net.InetAddress
-import java.net.InetSocketAddress
-import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Future
@@ -30,7 +29,7 @@
 
     private val owners = ConnectionOwners(processes)
     private val ports = targets.keys.zip(FreePorts.choose(targets.size)).toMap()
-    private val listeners = ConcurrentHashMap<String, ServerSocket>()
+    private val listeners = ConcurrentHashMap<String, LoopbackListener>()
     private val links = ConcurrentHashMap.newKeySet<Link>()
     private val cuts = ConcurrentHashMap<String, Cut>()
 
@@ -56,28 +55,13 @@
     }
 
     override fun close() {
-        listeners.values.forEach(ServerSocket::close)
+        listeners.values.forEach(LoopbackListener::close)
         links.forEach(::end)
         owners.close()
     }
 
     private fun listen(node: String) {
-        val listener = ServerSocket()
-        listener.reuseAddress = true
-        listener.bind(InetSocketAddress(InetAddress.getLoopbackAddress(), port(node)), BACKLOG)
-        listeners[node] = listener
-        thread(isDaemon = true) { accept(node, listener) }
-    }
-
-    private fun accept(node: String, listener: ServerSocket) {
-        while (!listener.isClosed) {
-            try {
-                val near = listener.accept()
-                thread(isDaemon = true) { connect(node, near) }
-            } catch (_: IOException) {
-                // The host was cut off, or the paths were closed.
-            }
-        }
+        listeners[node] = LoopbackListener(port(node)) { near -> thread(isDaemon = true) { connect(node, near) } }
     }
 
     private fun connect(node: String, near: Socket) {
@@ -129,7 +113,6 @@
     }
 
     private companion object {
-        const val BACKLOG = 200
         const val BUFFER_BYTES = 16 * 1024
         const val POLL_MILLIS = 5L
     }
