--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangeFencing.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangeFencing.kt
@@ -50,30 +50,31 @@
 
     /**
      * Handles a store read that was sent at [sentAt], if that was after the intent was recorded. The first one adds
-     * homes: a proxy whose record names the group only later uses the primary after a read that shows its record and the
-     * intent. A proxy that removes its record, or the group from it, has stopped using the primary before.
+     * homes: a proxy whose record names the group only later uses the primary after a read that shows its record and
+     * the intent. A proxy that removes its record, or the group from it, has stopped using the primary before.
      */
     fun handleMembersRead(reduction: Reduction, sentAt: MonotonicTime) {
         for (group in reduction.state.groups.values) {
-            val change = group.change?.takeIf { it.phase == ChangePhase.FENCING } ?: continue
-            if (change.recordedAt?.let { sentAt >= it } != true) continue
-            val recorded = change.unfenced intersect recordedHomes(reduction, group)
-            val next =
-                if (change.membersRead) {
-                    change.copy(unfenced = recorded)
-                } else {
-                    val added = GroupHomes.otherEndpoints(reduction, group.name) - change.asked
-                    change.copy(
-                        membersRead = true,
-                        unfenced = recorded + added,
-                        asked = change.asked + added,
-                        requestsSentAt = null,
-                    )
-                }
-            if (next != change) reduction.put(group.copy(change = next))
+            val change = group.change
+            val recordedAt = change?.recordedAt
+            if (change?.phase == ChangePhase.FENCING && recordedAt != null && sentAt >= recordedAt) {
+                reduction.put(group.copy(change = withMembers(reduction, group, change)))
+            }
         }
     }
 
+    private fun withMembers(reduction: Reduction, group: GroupView, change: PrimaryChange): PrimaryChange {
+        val recorded = change.unfenced intersect recordedHomes(reduction, group)
+        if (change.membersRead) return change.copy(unfenced = recorded)
+        val added = GroupHomes.otherEndpoints(reduction, group.name) - change.asked
+        return change.copy(
+            membersRead = true,
+            unfenced = recorded + added,
+            asked = change.asked + added,
+            requestsSentAt = null,
+        )
+    }
+
     // Expelled homes may still use the primary under their leases.
     private fun recordedHomes(reduction: Reduction, group: GroupView): Set<Endpoint> =
         reduction.state.fleet.records.values
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/RefusedConnectionsTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/RefusedConnectionsTest.kt
@@ -57,7 +57,7 @@
     }
 
     @Test
-    fun `the change of a proxy that refuses connections is taken over after the timeout - guards against rival changes`() {
+    fun `the change of a proxy that refuses connections is taken over late - guards against rival changes`() {
         proxy.readFleet(proxy.records(GROUP_RECORD.copy(epoch = 2, changedBy = proxy.peers[1])))
         proxy.takeEffects()
         repeat(9) {
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/ReplacedPrimaryReadTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/ReplacedPrimaryReadTest.kt
@@ -6,7 +6,6 @@
 import dev.hibiscusreach.sessions.ProxyFixture.Companion.SIGN_OFFS
 import dev.hibiscusreach.sessions.event.SessionEffect
 import dev.hibiscusreach.sessions.event.SessionEvent
-import dev.hibiscusreach.sessions.model.CallerStatement
 import dev.hibiscusreach.sessions.model.ServerAnswer
 import dev.hibiscusreach.sessions.model.SessionReply
 import dev.hibiscusreach.sessions.model.TransactionStatus
