Count the lease of an expelled proxy from its latest expulsion

The time from which the lease of an expelled proxy counts was kept by the name of its record. A proxy that is expelled, registers again and is expelled again, without a read that shows it in between, had a new lease that no change of primary waited for, and its record was deleted early; a change takes a deleted record as a stop. The time starts anew whenever the record has another revision.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/LeaseRenewal.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/LeaseRenewal.kt
@@ -92,13 +92,18 @@
     // A read through a peer may be older than the latest direct one.
     private fun latest(sentAt: MonotonicTime, known: MonotonicTime?) = maxOf(sentAt, known ?: sentAt)
 
+    // Between two expulsions a proxy may have registered again and have got a new lease, also if no read has shown it.
     private fun expulsionTimes(
         reduction: Reduction,
         records: Map<FleetKey, StoredRecord>,
-    ): Map<FleetKey, MonotonicTime> =
-        records
+    ): Map<FleetKey, MonotonicTime> {
+        val fleet = reduction.state.fleet
+        return records
             .filterValues { (it.record as? FleetRecord.Proxy)?.expelled ?: false }
-            .mapValues { (key, _) -> reduction.state.fleet.expelledSince[key] ?: reduction.now }
+            .mapValues { (key, stored) ->
+                fleet.expelledSince[key]?.takeIf { fleet.records[key]?.revision == stored.revision } ?: reduction.now
+            }
+    }
 
     /** Whether [records] contain this incarnation of the proxy and it is not expelled. */
     fun isRegistered(reduction: Reduction, records: Map<FleetKey, StoredRecord>): Boolean {
