Don't derive the primary's position from a replaced server

A read that ran at a replaced primary was rejected, but its position was still kept as the primary's at the time of sending. Reads with a bound on their age could then run at a replica that lacks commits which the new primary had acknowledged (STALE). A position of a later term than the record's is ignored now, also from probes. The rejected read also marks the server as no primary, so that a record which stays old is repaired, and asks for no second read of the records while one is in flight.

ReplacedPrimaryReadTest: 'a log of a later term says nothing of the primary's position' fails before and passes after.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryStatus.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryStatus.kt
@@ -53,7 +53,9 @@
     fun recordHead(reduction: Reduction, name: GroupName, sentAt: MonotonicTime, position: Position) {
         val group = reduction.group(name)
         val latest = group.heads.lastOrNull()
-        if (latest != null && latest.sentAt >= sentAt) return
+        // A log of a later term belongs to a server that was replaced, and may lack commits.
+        val isReplaced = group.record?.let { position.term > it.term } ?: false
+        if (isReplaced || latest != null && latest.sentAt >= sentAt) return
         val head = HeadSample(sentAt, position)
         val heads = group.heads.add(head)
         val updated = DepartedReplicas.applyHeadSample(group, head)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryTermCheck.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryTermCheck.kt
@@ -29,7 +29,8 @@
             "term" to reduction.group(connection.group).record?.term,
         )
         reduction.count(SessionCounter.RETRIES, "replaced")
-        LeaseRenewal.read(reduction)
+        reduction.updateHealth(connection.server) { it.copy(notPrimaryAt = reduction.now) }
+        if (!reduction.state.fleet.reading) LeaseRenewal.read(reduction)
         ServerAnswers.releaseConnection(reduction, connection, statement.answer)
         val (session, pending) = statement.session to statement.pending
         when {
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/ReplacedPrimaryReadTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/ReplacedPrimaryReadTest.kt
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isA
+import strikt.assertions.isEmpty
 import strikt.assertions.isNotEmpty
 import strikt.assertions.isNull
 
@@ -50,6 +51,14 @@
         expectThat(proxy.reply(session)).isA<SessionReply.Refused>()
     }
 
+    @Test
+    fun `a log of a later term says nothing of the primary's position - guards against bounded reads that are too old`() {
+        proxy.advanceTime(200, groups = false)
+        sendRead()
+        answerRead(term = 2)
+        expectThat(proxy.state.groups.values.flatMap { it.heads }.filter { it.position.term > Term(1) }).isEmpty()
+    }
+
     @Test
     fun `a read at a log of the known term is answered`() {
         sendRead()
