Register again with the groups that are in use

A proxy that was expelled registers with the groups of which it is a home by then. A group whose statements were in flight could be missing, so that no change of its primary asked the proxy or waited for its lease. Groups with held server connections are registered as well, and retired as usual.

RepeatedRegistrationTest: the first of 2 tests fails before, both pass after.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/HomeAssignment.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/HomeAssignment.kt
@@ -10,9 +10,9 @@
  * servers the proxy may use: a group is added before its first use, and removed only after its last one.
  */
 internal object HomeAssignment {
-    /** The record that this proxy registers with. */
+    /** The record that this proxy registers with; it may do so again while it uses groups that it is no home of now. */
     fun initialRecord(reduction: Reduction): FleetRecord.Proxy =
-        record(reduction, assigned(reduction))
+        record(reduction, assigned(reduction)?.plus(HomeRetirement.groupsInUse(reduction)))
 
     /** Retires from groups of which other proxies are homes now, and writes the own record if it has to change. */
     fun review(reduction: Reduction) {
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/HomeRetirement.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/HomeRetirement.kt
@@ -35,6 +35,13 @@
             reduction.group(group).change != null ||
             reduction.state.connections.values.any { it.group == group && it.heldBy != null }
 
+    /** The groups of which this proxy holds server connections for statements or transactions. */
+    fun groupsInUse(reduction: Reduction): Set<GroupName> =
+        reduction.state.connections.values
+            .filter { it.heldBy != null }
+            .map { it.group }
+            .toSet()
+
     /** Key of this proxy's record. */
     fun ownKey(reduction: Reduction) = FleetKey.proxy(reduction.state.self.identity.node)
 
