Let the simulated network cut, freeze, delay and lose, and check reads

The simulation knew cuts without answers only, handled each event at once, and checked writes alone. A cut that answers with resets, a frozen host and a late store could not be played, nor a read at a replaced primary be seen.

Faults are now data that a network applies: cuts of hosts and of pairs, silent or refused, frozen hosts, late and lost calls to the store and to the promotion service, proxies that are killed or stop in order. A statement that was sent reaches its server whatever happens to its proxy. Proxies may read the records through a peer. Logs hold commits, so that reads and acknowledged commits are checked against them. A demoted server keeps its log until it has caught up.

--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/simulation/RandomRestorationsTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/simulation/RandomRestorationsTest.kt
@@ -44,7 +44,7 @@
             when (kind) {
                 0 -> restore(simulation, random)
                 1 -> crashPrimary(simulation, random)
-                2 -> simulation.cut += anyNode(simulation, random)
+                2 -> simulation.network.faults += Fault.HostCut(anyNode(simulation, random))
                 3 -> restartProxy(simulation, random)
                 4 -> splitPrimary(simulation, random)
                 else -> heal(simulation)
@@ -71,8 +71,9 @@
     /** Only a proxy that is cut off reaches the primary. */
     private fun splitPrimary(simulation: RestorationSimulation, random: RandomGenerator) {
         val node = anyNode(simulation, random)
-        simulation.cut += node
-        simulation.blocked += simulation.nodes.filter { it != node }.map { it to simulation.servers.leader }
+        simulation.network.faults += Fault.HostCut(node)
+        val others = simulation.nodes.filter { it != node }
+        simulation.network.faults += others.map { Fault.ServerCut(it, simulation.servers.leader) }
     }
 
     private fun anyNode(simulation: RestorationSimulation, random: RandomGenerator): String =
@@ -86,8 +87,7 @@
     }
 
     private fun heal(simulation: RestorationSimulation) {
-        simulation.cut.clear()
-        simulation.blocked.clear()
+        simulation.network.faults.clear()
         simulation.servers.down.toList().forEach<ServerName>(simulation.servers::start)
     }
 
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/simulation/RestorationSimulation.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/simulation/RestorationSimulation.kt
@@ -17,43 +17,60 @@
 import dev.hibiscusreach.sessions.event.TimedSessionEvent
 import dev.hibiscusreach.sessions.event.TimerSubject
 import dev.hibiscusreach.sessions.event.WriteOutcome
+import dev.hibiscusreach.sessions.model.CallerStatement
+import dev.hibiscusreach.sessions.model.FleetKey
 import dev.hibiscusreach.sessions.model.ProxyIdentity
+import dev.hibiscusreach.sessions.model.RegisteredServer
 import dev.hibiscusreach.sessions.model.ServerAnswer
 import dev.hibiscusreach.sessions.model.ServerFailure
 import dev.hibiscusreach.sessions.model.ServerStatement
 import dev.hibiscusreach.sessions.model.SessionReply
+import dev.hibiscusreach.sessions.model.StoredRecord
 import dev.hibiscusreach.sessions.model.TransactionStatus
 import dev.hibiscusreach.sessions.state.LocalProxy
 import dev.hibiscusreach.sessions.state.SessionProxyState
 import java.util.PriorityQueue
 import java.util.TreeMap
 
-/** Runs the reducers of some proxies against a store that can be restored, and servers that can be promoted. */
+/** What callers send, and what proxies and servers do by themselves. */
+internal data class SimulationOptions(
+    val statements: List<CallerStatement> = listOf(ProxyFixture.WRITE),
+    /** Proxies read the records through the peer that they select. */
+    val readsThroughPeers: Boolean = false,
+    /** A replaced primary becomes a replica some time after it can reach the new one. */
+    val primariesFollow: Boolean = false,
+)
+
+/**
+ * Runs the reducers of some proxies against a store that can be restored, and servers that can be promoted. Checks the
+ * writes and reads of callers, which send statements to every proxy.
+ */
 internal class RestorationSimulation(
     private val locations: List<LocalProxy>,
     private val initial: List<SessionEvent>,
     private val log: (String) -> Unit,
+    val network: SimulatedNetwork = SimulatedNetwork(),
+    private val options: SimulationOptions = SimulationOptions(),
 ) {
+    private class Mirror(val readAt: Long, val records: Map<FleetKey, StoredRecord>, val era: Long)
+
     private class Action(val at: Long, val order: Long, val run: () -> Unit)
 
     private val actions = PriorityQueue<Action>(compareBy(Action::at, Action::order))
     private val states = TreeMap<String, SessionProxyState>()
     private val asked = HashMap<PeerRequestNumber, Pair<String, SessionEffect.AskPeer>>()
+    private val queued = HashMap<String, ArrayDeque<SessionEvent>>()
+    private val sources = HashMap<String, String>()
+    private val mirrors = HashMap<String, Mirror>()
     private var counter = 0L
     val store = SimulatedStore()
     val servers = SimulatedServers()
+    private val checks = StatementChecks(servers)
     val nodes = locations.map { it.identity.node }
 
-    /** Nodes that reach neither the store nor their peers. */
-    val cut = mutableSetOf<String>()
-
-    /** Servers that a node does not reach; calls of the node get no answer. */
-    val blocked = mutableSetOf<Pair<String, ServerName>>()
-
     /** Nodes whose proxy does not run. */
     val stopped = mutableSetOf<String>()
-    val violations = mutableListOf<String>()
-    private var highestToken = 0L
+    val violations: List<String> get() = checks.violations
     var now = 0L
         private set
 
@@ -70,11 +87,15 @@
         val location = locations.first { it.identity.node == node }
         val identity = ProxyIdentity(node, incarnation = ++counter)
         states[node] = SessionProxyState(location.copy(identity = identity))
+        listOf(queued, sources, mirrors).forEach { it -= node }
         initial.forEach { feed(node, it) }
         feed(node, SessionEvent.ServersRead(servers.registered()))
         read(node)
     }
 
+    /** Asks a proxy to stop in order. */
+    fun stop(node: String) = feed(node, SessionEvent.StopRequested)
+
     /** Advances the time, in which every running proxy reads the store once a second and gets writes to serve. */
     fun advance(millis: Long) {
         val end = now + millis
@@ -87,35 +108,65 @@
     }
 
     private fun step(node: String) {
-        feed(node, SessionEvent.TimerFired(TimerSubject.REQUESTS))
-        if (now % GROUP_MILLIS == 0L) feed(node, SessionEvent.TimerFired(TimerSubject.GROUPS))
-        if (now % READ_MILLIS == 0L) read(node)
-        if (now % GROUP_MILLIS == 0L) write(node)
+        if (!network.isFrozen(node)) {
+            queued.remove(node).orEmpty().forEach { feed(node, it) }
+            feed(node, SessionEvent.TimerFired(TimerSubject.REQUESTS))
+            if (now % GROUP_MILLIS == 0L) feed(node, SessionEvent.TimerFired(TimerSubject.GROUPS))
+            if (now % READ_MILLIS == 0L) read(node, if (options.readsThroughPeers) sources[node] else null)
+        }
+        if (now % GROUP_MILLIS == 0L) options.statements.forEach { request(node, it) }
     }
 
-    private fun later(delay: Long, run: () -> Unit) {
-        actions.add(Action(now + delay, counter++, run))
+    /** Runs [run] after [delay] milliseconds. */
+    fun later(delay: Long, run: () -> Unit) {
+        if (delay == 0L) run() else actions.add(Action(now + delay, counter++, run))
     }
 
-    private fun reachesStore(node: String) = !store.isAway && node !in cut
+    private fun reachesStore(node: String) = !store.isAway && network.toStore(node) == Reach.OPEN
 
-    private fun read(node: String) {
-        if (reachesStore(node)) {
-            feed(node, SessionEvent.ServersRead(servers.registered()))
-            feed(node, SessionEvent.FleetRead(MonotonicTime(now), store.records, store.era))
-        } else {
-            feed(node, SessionEvent.FleetReadFailed("no answer"))
+    /** Reads the records through [peer], or from the store if it is null. */
+    private fun read(node: String, peer: String? = null) {
+        val readAt = now
+        val identity = states.getValue(node).self.identity
+        val arrival = network.storeDelay(node, usual = 0)
+        val answer = network.storeDelay(node, usual = 0)
+        val reach = if (peer == null) network.toStore(node) else network.between(node, peer)
+        val isLost = reach != Reach.OPEN || peer == null && store.isAway || peer != null && peer in stopped
+        if (isLost || arrival == null || answer == null) {
+            return feed(node, SessionEvent.FleetReadFailed("no answer"))
+        }
+        later(arrival) {
+            val read = if (peer == null) Mirror(readAt, store.records, store.era) else mirrors[peer]
+            val registered = servers.registered()
+            later(answer) {
+                val isSameProcess = states.getValue(node).self.identity == identity
+                if (read != null && isSameProcess) adopt(node, read, registered)
+            }
         }
     }
 
-    private fun write(node: String) {
+    private fun adopt(node: String, read: Mirror, registered: Map<ServerName, RegisteredServer>) {
+        val known = mirrors[node]
+        if (known != null && (known.readAt > read.readAt || known.era > read.era)) return
+        mirrors[node] = read
+        feed(node, SessionEvent.ServersRead(registered))
+        feed(node, SessionEvent.FleetRead(MonotonicTime(read.readAt), read.records, read.era))
+    }
+
+    private fun request(node: String, statement: CallerStatement) {
         val session = SessionNumber(++counter)
+        val identifier = "request-$counter"
+        checks.sent(identifier)
         feed(node, SessionEvent.SessionRequested(session, ProxyFixture.SIGN_OFFS))
-        feed(node, SessionEvent.StatementArrived(session, "request-$counter", ProxyFixture.WRITE))
+        feed(node, SessionEvent.StatementArrived(session, identifier, statement))
     }
 
     private fun feed(node: String, event: SessionEvent) {
         if (node in stopped) return
+        if (network.isFrozen(node)) {
+            queued.getOrPut(node, ::ArrayDeque) += event
+            return
+        }
         val transition = SessionReducer.reduce(states.getValue(node), TimedSessionEvent(MonotonicTime(now), event))
         states[node] = transition.state
         transition.effects.forEach { carryOut(node, it) }
@@ -134,6 +185,10 @@
             is SessionEffect.Log ->
                 if (!effect.message.startsWith("statement")) log("$now $node ${effect.message} ${effect.fields}")
             is SessionEffect.ReadFleet -> later(MESSAGE_MILLIS) { read(node) }
+            is SessionEffect.SelectStoreSource -> {
+                val peer = effect.peer
+                if (peer == null) sources -= node else sources[node] = nodeAt(peer)
+            }
             is SessionEffect.AskPeer -> ask(node, effect)
             is SessionEffect.AnswerPeer -> answerPeer(node, effect)
             is SessionEffect.SendControl -> control(node, effect)
@@ -146,13 +201,18 @@
         when (effect) {
             is SessionEffect.ForwardStatement ->
                 feedLater(node, MESSAGE_MILLIS) { SessionEvent.HomeLinkLost(effect.home, connected = false) }
-            is SessionEffect.Reply -> if (effect.reply is SessionReply.Completed) acknowledged += now
+            is SessionEffect.Reply -> reply(node, effect)
+            SessionEffect.Exit -> stopped += node
             is SessionEffect.OpenConnection -> open(node, effect)
             is SessionEffect.SendStatements -> {
+                val identity = states.getValue(node).self.identity
                 val server = states.getValue(node).connections[effect.connection]?.server
-                if (server != null && (node to server) !in blocked) {
+                if (server != null && !network.isBlocked(node, server)) {
                     effect.statements.forEach { statement ->
-                        feedLater(node, MESSAGE_MILLIS) { run(node, effect.connection, server, statement) }
+                        later(MESSAGE_MILLIS) {
+                            val event = run(node, effect.connection, server, statement)
+                            if (states.getValue(node).self.identity == identity) feed(node, event)
+                        }
                     }
                 }
             }
@@ -160,9 +220,19 @@
         }
     }
 
+    private fun reply(node: String, effect: SessionEffect.Reply) {
+        val proof = (effect.reply as? SessionReply.Completed)?.proof
+        val commit = proof?.toLongOrNull()
+        if (commit != null) {
+            acknowledged += now
+            checks.writeAcknowledged(commit, "$now: $node acknowledges commit $commit")
+        }
+        feedLater(node, MESSAGE_MILLIS) { SessionEvent.SessionEnded(effect.session) }
+    }
+
     private fun open(node: String, effect: SessionEffect.OpenConnection) {
         val server = effect.server.name
-        val isBlocked = (node to server) in blocked
+        val isBlocked = network.isBlocked(node, server)
         feedLater(node, if (isBlocked) SILENCE_MILLIS else MESSAGE_MILLIS) {
             when {
                 isBlocked -> SessionEvent.ConnectionLost(effect.connection, ConnectionFailure.TIMED_OUT)
@@ -179,40 +249,50 @@
         statement: ServerStatement,
     ): SessionEvent {
         val status = servers.status(server)
-        val writes = statement is ServerStatement.Run
+        val run = statement as? ServerStatement.Run
+        val writes = run?.text == ProxyFixture.WRITE.text
         val result =
             when {
                 status == null -> return SessionEvent.ConnectionLost(connection, ConnectionFailure.BROKEN)
                 writes && !servers.isPrimary(server) ->
                     ServerAnswer.Result.Failed(ServerFailure.NOT_PRIMARY, "READONLY", "")
+                writes -> {
+                    val commit = servers.write(server)
+                    if (server != servers.leader) log("$now $node commits $commit at $server, ${servers.leader} leads")
+                    ServerAnswer.Result.Completed("$commit")
+                }
                 else -> ServerAnswer.Result.Completed("proof")
             }
-        if (writes && result is ServerAnswer.Result.Completed) {
-            if (server != servers.leader) violations += "$now: $node writes to $server, ${servers.leader} leads"
-            servers.write(server)
-        }
+        if (run != null && !writes) checks.readRuns(run.identifier, server, "$now: $node reads")
         val position = servers.status(server)?.received
         val answer = ServerAnswer(emptyList(), result, TransactionStatus.NONE, position)
         return SessionEvent.ServerAnswered(connection, answer)
     }
 
-    private fun writeStore(node: String, effect: SessionEffect.WriteFleet) =
-        feedLater(node, MESSAGE_MILLIS) {
-            val outcome =
-                if (reachesStore(node)) {
-                    store.write(effect.key, effect.record, effect.expectedRevision)
-                } else {
-                    WriteOutcome.Unknown
-                }
-            SessionEvent.FleetWritten(effect.key, outcome)
+    private fun writeStore(node: String, effect: SessionEffect.WriteFleet) {
+        val arrival = network.storeDelay(node, MESSAGE_MILLIS)
+        val answer = network.storeDelay(node, usual = 0)
+        var outcome: WriteOutcome = WriteOutcome.Unknown
+        if (arrival != null) {
+            later(arrival) {
+                if (reachesStore(node)) outcome = store.write(effect.key, effect.record, effect.expectedRevision)
+            }
+        }
+        val answeredAfter = (arrival ?: SILENCE_MILLIS) + (answer ?: SILENCE_MILLIS)
+        feedLater(node, minOf(answeredAfter, SILENCE_MILLIS)) {
+            val isInTime = answeredAfter < SILENCE_MILLIS
+            SessionEvent.FleetWritten(effect.key, if (isInTime) outcome else WriteOutcome.Unknown)
         }
+    }
 
     private fun ask(node: String, effect: SessionEffect.AskPeer) {
         val peer = nodeAt(effect.peer)
         val answered = { outcome: PeerOutcome -> SessionEvent.PeerAnswered(effect.peer, effect.request, outcome) }
+        val reach = network.between(node, peer)
         when {
-            node in cut || peer in cut -> feedLater(node, SILENCE_MILLIS) { answered(PeerOutcome.Silent) }
-            peer in stopped -> feedLater(node, MESSAGE_MILLIS) { answered(PeerOutcome.Refused) }
+            reach == Reach.SILENT -> feedLater(node, SILENCE_MILLIS) { answered(PeerOutcome.Silent) }
+            reach == Reach.REFUSED || peer in stopped ->
+                feedLater(node, MESSAGE_MILLIS) { answered(PeerOutcome.Refused) }
             else -> {
                 val number = PeerRequestNumber(++counter)
                 asked[number] = node to effect
@@ -227,7 +307,7 @@
 
     private fun answerPeer(node: String, effect: SessionEffect.AnswerPeer) {
         val (asker, question) = asked[effect.number] ?: return
-        if (node in cut || asker in cut) return
+        if (network.between(node, asker) != Reach.OPEN) return
         asked.remove(effect.number)
         val outcome = PeerOutcome.Answered(effect.answer)
         feedLater(asker, MESSAGE_MILLIS) { SessionEvent.PeerAnswered(question.peer, question.request, outcome) }
@@ -235,28 +315,54 @@
 
     private fun control(node: String, effect: SessionEffect.SendControl) {
         val name = effect.server.name
-        if ((node to name) in blocked) {
+        if (network.isBlocked(node, name)) {
             return feedLater(node, SILENCE_MILLIS) { SessionEvent.ControlAnswered(name, effect.command, status = null) }
         }
         feedLater(node, MESSAGE_MILLIS) {
             val command = effect.command
-            if (command is ControlRequest.StepDown) servers.stepDown(name, command.term)
+            if (command is ControlRequest.StepDown) {
+                servers.stepDown(name, command.term)
+                later(CATCH_UP_MILLIS) { servers.catchUp(name) }
+            }
             SessionEvent.ControlAnswered(name, command, servers.status(name))
         }
     }
 
     private fun promote(node: String, effect: SessionEffect.Promote) {
-        if (effect.fencingToken <= highestToken) violations += "$now: $node uses token ${effect.fencingToken} again"
-        highestToken = maxOf(highestToken, effect.fencingToken)
-        val isDown = effect.server in servers.down
-        val outcome = if (isDown) PromotionOutcome.REJECTED else PromotionOutcome.ACCEPTED
-        if (!isDown) {
-            later(PROMOTION_MILLIS) {
-                servers.promote(effect.server)
-                log("$now ${servers.leader} leads")
+        checks.promotionRequested(effect.fencingToken, "$now: $node")
+        val arrival = network.promotionDelay(usual = 0)
+        val answer = network.promotionDelay(MESSAGE_MILLIS)
+        var outcome = PromotionOutcome.UNKNOWN
+        if (arrival != null) {
+            later(arrival) {
+                val isDown = effect.server in servers.down
+                outcome = if (isDown) PromotionOutcome.REJECTED else PromotionOutcome.ACCEPTED
+                if (!isDown) later(PROMOTION_MILLIS) { lead(effect.server) }
             }
         }
-        feedLater(node, MESSAGE_MILLIS) { SessionEvent.PromotionAnswered(effect.group, effect.server, outcome) }
+        val answeredAfter = (arrival ?: PROMOTION_TIMEOUT_MILLIS) + (answer ?: PROMOTION_TIMEOUT_MILLIS)
+        feedLater(node, minOf(answeredAfter, PROMOTION_TIMEOUT_MILLIS)) {
+            val isInTime = answeredAfter < PROMOTION_TIMEOUT_MILLIS
+            val known = if (isInTime) outcome else PromotionOutcome.UNKNOWN
+            SessionEvent.PromotionAnswered(effect.group, effect.server, known)
+        }
+    }
+
+    private fun lead(server: ServerName) {
+        if (!servers.promote(server)) return
+        log("$now $server leads")
+        checks.promoted("$now: $server")
+        followLater()
+    }
+
+    /** Starts a server that was down. */
+    fun startServer(server: ServerName) {
+        servers.start(server)
+        followLater()
+    }
+
+    private fun followLater() {
+        if (options.primariesFollow) later(FOLLOW_MILLIS, servers::demoteOthers)
     }
 
     private fun nodeAt(endpoint: Endpoint) = locations.first { it.peerEndpoint == endpoint }.identity.node
@@ -269,5 +375,8 @@
         const val MESSAGE_MILLIS = 25L
         const val SILENCE_MILLIS = 1_200L
         const val PROMOTION_MILLIS = 300L
+        const val CATCH_UP_MILLIS = 500L
+        const val FOLLOW_MILLIS = 1_000L
+        const val PROMOTION_TIMEOUT_MILLIS = 2_000L
     }
 }
