--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/StatementCompletion.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/StatementCompletion.kt
@@ -6,7 +6,6 @@
 import dev.hibiscusreach.sessions.model.ServerAnswer
 import dev.hibiscusreach.sessions.model.SessionReply
 import dev.hibiscusreach.sessions.state.CommitPosition
-import dev.hibiscusreach.sessions.state.PendingStatement
 import dev.hibiscusreach.sessions.state.PendingStatement.Phase
 import dev.hibiscusreach.sessions.state.Session
 import dev.hibiscusreach.sessions.state.Transaction
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/Session.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/Session.kt
@@ -6,9 +6,9 @@
 import dev.hibiscusreach.core.model.Endpoint
 import dev.hibiscusreach.core.model.ErrorKind
 import dev.hibiscusreach.core.model.MonotonicTime
-import dev.hibiscusreach.core.model.Term
 import dev.hibiscusreach.core.model.Position
 import dev.hibiscusreach.core.model.ServerName
+import dev.hibiscusreach.core.model.Term
 import dev.hibiscusreach.sessions.event.SessionNumber
 import dev.hibiscusreach.sessions.model.CallerStatement
 import dev.hibiscusreach.sessions.model.GroupName
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/simulation/RandomFaultsTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/simulation/RandomFaultsTest.kt
@@ -42,6 +42,7 @@
                 statements = listOf(ProxyFixture.WRITE, ProxyFixture.READ),
                 readsThroughPeers = true,
                 primariesFollow = true,
+                allowsLateWrites = true,
             ),
         )
     }
