--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/LineServerGroup.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/LineServerGroup.kt
@@ -54,7 +54,11 @@
             }
 
         private fun serve(connection: Socket) {
-            connection.use { ServerSession(this, it).serve() }
+            try {
+                connection.use { ServerSession(this, it).serve() }
+            } catch (_: IOException) {
+                // The proxy has closed the connection, or the server has ended.
+            }
             connections -= connection
         }
     }
@@ -68,16 +72,12 @@
         private val position get() = log.position(server.name)
 
         fun serve() {
-            try {
-                connection.tcpNoDelay = true
-                reader.readLine() ?: return
-                send("READY I $position\r\n")
-                generateSequence { reader.readLine() }.takeWhile { it != "QUIT" }.forEach { line ->
-                    val (_, identifier, text) = line.split(' ', limit = 3)
-                    send(answer(identifier, text) + "READY $state $position\r\n")
-                }
-            } catch (_: IOException) {
-                // The proxy has closed the connection.
+            connection.tcpNoDelay = true
+            reader.readLine() ?: return
+            send("READY I $position\r\n")
+            generateSequence { reader.readLine() }.takeWhile { it != "QUIT" }.forEach { line ->
+                val (_, identifier, text) = line.split(' ', limit = 3)
+                send(answer(identifier, text) + "READY $state $position\r\n")
             }
         }
 
