--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangePublication.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangePublication.kt
@@ -17,7 +17,7 @@
     fun publish(reduction: Reduction, group: GroupView, change: PrimaryChange, primary: ServerName, term: Term) {
         val record = group.record ?: return
         val published = FleetRecord.Group(record.group, record.epoch, term, primary, era = StoreEras.current(reduction))
-        if (record.primary != primary) requestStepDown(reduction, record.primary, term)
+        if (record.primary != primary) StepDownRequests.request(reduction, group.name, record.primary, term)
         if (SuccessorChoice.pausesReplicas(reduction, group, change)) resumeReplicas(reduction, group, primary)
         val next =
             PrimaryChanges.enterPhase(reduction, group, change.copy(published = published), ChangePhase.PUBLISHING)
@@ -37,15 +37,10 @@
             .filter { it.name != primary }
             .forEach { reduction.emit(SessionEffect.SendControl(it, ControlRequest.Resume)) }
 
-    private fun requestStepDown(reduction: Reduction, primary: ServerName, term: Term) {
-        val server = reduction.state.server(primary) ?: return
-        reduction.emit(SessionEffect.SendControl(server, ControlRequest.StepDown(term.number)))
-    }
-
     /** Ends the change and keeps the current primary. */
     fun keepPrimary(reduction: Reduction, group: GroupView, change: PrimaryChange, incumbent: ServerStatus) {
         val primary = group.record?.primary ?: return
-        reduction.log("primary kept", "group" to group.name, "primary" to primary)
+        reduction.log("primary kept", "group" to group.name, "primary" to primary, "requested" to group.record.successor)
         publish(reduction, group, change, primary, incumbent.term)
     }
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/FleetEvents.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/FleetEvents.kt
@@ -72,6 +72,7 @@
 
     private fun controlAnswered(reduction: Reduction, event: SessionEvent.ControlAnswered) {
         val returnsStatus = event.command is ControlRequest.Status || event.command is ControlRequest.Pause
+        if (event.command is ControlRequest.StepDown) StepDownRequests.handleAnswer(reduction, event)
         if (returnsStatus && !GroupMonitoring.initialStatusAnswered(reduction, event)) {
             SuccessorPromotion.handleStatus(reduction, event)
         }
