Tell replaced primaries to step down for as long as they report the role

What callers saw: acknowledged writes were gone after a later change of primary. Cause: a replaced primary was told to step down once, by the proxy that published its successor, and only if that proxy knew the server at this moment. One that was down then and returned before the promotion took effect went on as a primary with an old log; as the only server that reported in a later change it was promoted. Class of fault: an instruction without a confirmation is sent once.

The homes compare the entries of the servers with the group's record and repeat the request each second. It names the term of the record, so that it has no effect on a server that leads this term or a later one.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupMonitoring.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupMonitoring.kt
@@ -91,6 +91,7 @@
     private fun checkGroup(reduction: Reduction, group: GroupView) {
         GroupRecordRepair.review(reduction, group)
         probe(reduction, group)
+        StepDownRequests.review(reduction, group)
         PrimaryFencing.settle(reduction, group.name)
         PrimaryFailureDetection.review(reduction, group.name)
         PrimaryChanges.advance(reduction, group.name)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/ServerConnection.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/ServerConnection.kt
@@ -61,4 +61,6 @@
     val behindUntil: MonotonicTime? = null,
     /** When it last reported that it is not the primary. */
     val notPrimaryAt: MonotonicTime? = null,
+    /** When it is next told to step down; null unless its entry reports the primary role after it was replaced. */
+    val stepDownDue: MonotonicTime? = null,
 )
