Promote the old primary anew once a successor that may have led is gone

Cause: the old primary was kept once the entry of the requested successor was gone, or once a request was rejected, whatever had become of an earlier one. Neither shows that no promotion took effect. Class of fault: an effect with an unknown outcome is treated as one that did not happen, here because its object is no longer visible.

A change now knows the servers whose promotion may have been carried out: the successor that the record named when it began, and each request that was not rejected. If there is one and it is gone, the old primary is not kept; if it leads and stays, its own promotion is requested, which gives it a term above that of the server that led. The platform answers such a request without effect if the old primary still leads there, so an accepted request that leaves it in its term shows that no other server has led, and it is kept then.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangeFencing.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangeFencing.kt
@@ -19,7 +19,14 @@
     fun start(reduction: Reduction, group: GroupView, change: PrimaryChange) {
         val epoch = group.record?.epoch ?: return
         val peers = GroupHomes.otherEndpoints(reduction, group.name)
-        val fencing = change.copy(recordedAt = reduction.now, unfenced = peers, asked = peers, membersRead = false)
+        val fencing =
+            change.copy(
+                recordedAt = reduction.now,
+                unfenced = peers,
+                asked = peers,
+                membersRead = false,
+                mayHaveLed = setOfNotNull(group.record.successor),
+            )
         PrimaryChanges.enterPhase(reduction, group, fencing, ChangePhase.FENCING)
         PrimaryFencing.fencePrimary(reduction, group.name, epoch, change.reason.planned)
         LeaseRenewal.read(reduction)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PromoterLocking.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PromoterLocking.kt
@@ -74,8 +74,15 @@
         if (change.phase != ChangePhase.PROMOTING || change.successor != event.server) return
         releaseLock(reduction)
         when (event.outcome) {
-            PromotionOutcome.ACCEPTED, PromotionOutcome.UNKNOWN ->
-                PrimaryChanges.enterPhase(reduction, group, change.copy(statuses = emptyMap()), ChangePhase.CONFIRMING)
+            PromotionOutcome.ACCEPTED, PromotionOutcome.UNKNOWN -> {
+                val requested =
+                    change.copy(
+                        statuses = emptyMap(),
+                        mayHaveLed = change.mayHaveLed + event.server,
+                        promotionAccepted = event.outcome == PromotionOutcome.ACCEPTED,
+                    )
+                PrimaryChanges.enterPhase(reduction, group, requested, ChangePhase.CONFIRMING)
+            }
             PromotionOutcome.REJECTED ->
                 SuccessorPromotion.inspectServers(
                     reduction,
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorChoice.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorChoice.kt
@@ -37,14 +37,16 @@
         reduction.servers(group.name).filter { it.name != group.record?.primary }
 
     /**
-     * The most advanced eligible replica, or the one whose promotion may still take effect; null until it has all
-     * commits or `incompleteSuccessorDelay` has passed.
+     * The server whose promotion may still take effect, the recorded primary if it has to be promoted anew, or else the
+     * most advanced eligible replica; null until it has all commits or `incompleteSuccessorDelay` has passed.
      */
     fun findSuccessor(reduction: Reduction, group: GroupView, change: PrimaryChange): ServerName? {
-        val requested = SuccessorRecording.outstanding(reduction, group, change)
+        val requested =
+            SuccessorRecording.outstanding(reduction, group, change) ?: incumbentToPromote(reduction, group, change)
         val candidate =
-            replicas(reduction, group)
-                .filter { if (requested == null) !it.leaving else it.name == requested }
+            reduction
+                .servers(group.name)
+                .filter { if (requested == null) isEligible(group, it) else it.name == requested }
                 .filter { it.name !in change.rejected && it.name in change.statuses }
                 .sortedBy { ServerSelection.cost(reduction, it).value }
                 .maxByOrNull { change.statuses.getValue(it.name).received }
@@ -53,6 +55,20 @@
         return candidate?.takeIf { delayElapsed || hasAllCommits(reduction, group, change, it) }
     }
 
+    private fun isEligible(group: GroupView, server: RegisteredServer): Boolean =
+        !server.leaving && server.name != group.record?.primary
+
+    // If a server that is gone may have led, the platform replaces the recorded primary by it once more when it returns.
+    // Only a promotion of its own gives the primary a later term than that server.
+    private fun incumbentToPromote(reduction: Reduction, group: GroupView, change: PrimaryChange): ServerName? {
+        val isLeading = isIncumbentReporting(group, change) && isIncumbentStaying(reduction, group)
+        return group.record?.primary?.takeIf { change.mayHaveLed.isNotEmpty() && isLeading && it !in change.rejected }
+    }
+
+    /** Whether the recorded primary is registered and not leaving. */
+    fun isIncumbentStaying(reduction: Reduction, group: GroupView): Boolean =
+        group.record?.let { reduction.state.server(it.primary) }?.leaving == false
+
     /**
      * Whether [candidate] will have every acknowledged commit. With synchronous replication, that is known only if
      * every replica has reported, or if the primary still reports its log position: the successor then receives the
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorPromotion.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorPromotion.kt
@@ -33,7 +33,8 @@
             ChangePhase.ACQUIRING -> PromoterLocking.advance(reduction, group, change)
             ChangePhase.PROMOTING ->
                 if (elapsed > reduction.settings.changes.promotionTimeout) {
-                    PrimaryChanges.enterPhase(reduction, group, change, ChangePhase.ACQUIRING)
+                    val unanswered = change.copy(mayHaveLed = change.mayHaveLed + setOfNotNull(change.successor))
+                    PrimaryChanges.enterPhase(reduction, group, unanswered, ChangePhase.ACQUIRING)
                 }
             ChangePhase.CONFIRMING -> checkConfirmation(reduction, group, change)
             ChangePhase.PUBLISHING ->
@@ -80,16 +81,16 @@
         if (PrimaryChanges.areRequestsDue(reduction, change)) SuccessorChoice.requestStatuses(reduction, group)
     }
 
-    // A promotion that was requested may still replace the primary.
+    // A promotion that was requested may still replace the primary, or may have replaced it by a server that is gone.
     private fun mayKeepPrimary(
         reduction: Reduction,
         group: GroupView,
         change: PrimaryChange,
         incumbent: ServerStatus,
     ): Boolean {
-        val isStaying = group.record?.let { reduction.state.server(it.primary) }?.leaving == false
         val mayBeReplaced = SuccessorRecording.outstanding(reduction, group, change) != null
-        return incumbent.role == ServerRole.PRIMARY && isStaying && !mayBeReplaced
+        val isLeading = incumbent.role == ServerRole.PRIMARY && SuccessorChoice.isIncumbentStaying(reduction, group)
+        return isLeading && !mayBeReplaced && change.mayHaveLed.isEmpty()
     }
 
     private fun acceptSuccessor(
@@ -131,6 +132,8 @@
                 ChangePublication.publish(reduction, group, change, newPrimary.key, newPrimary.value.term)
             received != null && incumbent != null && received >= incumbent.received || isLate && mayBeReplaced ->
                 SuccessorRecording.start(reduction, group, change)
+            isLate && change.mayHaveLed.isNotEmpty() ->
+                SuccessorRecording.start(reduction, group, change.copy(successor = record.primary))
             isLate -> incumbent?.let { ChangePublication.keepPrimary(reduction, group, change, it) }
             isPollDue(reduction, change) -> SuccessorChoice.requestStatuses(reduction, group)
         }
@@ -138,13 +141,16 @@
 
     private fun checkConfirmation(reduction: Reduction, group: GroupView, change: PrimaryChange) {
         val successor = change.successor ?: return
-        val term = group.record?.term ?: return
-        val status = change.statuses[successor]
+        val record = group.record ?: return
+        val status = change.statuses[successor]?.takeIf { it.role == ServerRole.PRIMARY }
+        val isLate = reduction.now - change.phaseSince > reduction.settings.changes.promotionTimeout
         when {
-            status != null && status.role == ServerRole.PRIMARY && status.term > term ->
+            status != null && status.term > record.term ->
                 ChangePublication.publish(reduction, group, change, successor, status.term)
-            reduction.now - change.phaseSince > reduction.settings.changes.promotionTimeout ->
-                inspectServers(reduction, group, change)
+            // The request has no effect on a server that leads for the platform as well: no other one has led.
+            isLate && status != null && successor == record.primary && change.promotionAccepted ->
+                ChangePublication.keepPrimary(reduction, group, change, status)
+            isLate -> inspectServers(reduction, group, change)
             isPollDue(reduction, change) -> SuccessorChoice.requestStatuses(reduction, group)
         }
     }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/GroupView.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/GroupView.kt
@@ -104,6 +104,10 @@
     val statuses: Map<ServerName, ServerStatus> = emptyMap(),
     val rejected: Set<ServerName> = emptySet(),
     val successor: ServerName? = null,
+    /** Servers whose promotion was requested in this change, by any proxy, and may have been carried out. */
+    val mayHaveLed: Set<ServerName> = emptySet(),
+    /** Whether the latest promotion request was accepted; false while its outcome is unknown. */
+    val promotionAccepted: Boolean = false,
     val promoterLock: PromoterLock? = null,
     val published: FleetRecord.Group? = null,
 )
