--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/ChangeFixture.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/ChangeFixture.kt
@@ -40,12 +40,16 @@
     fun confirmWrite(key: FleetKey, revision: Long) =
         proxy.feed(SessionEvent.FleetWritten(key, WriteOutcome.Written(Revision(revision))))
 
-    /** Carries a change out up to the choice of a successor; the primary reports nothing. */
-    fun chooseSuccessor(record: FleetRecord.Group = intent) {
+    /** Carries a change that [record] declares out up to the inspection of the servers. */
+    fun inspectServers(record: FleetRecord.Group = intent) =
         repeat(2) {
             proxy.readFleet(proxy.records(record))
             proxy.advanceTime(200)
         }
+
+    /** Carries a change out up to the choice of a successor; the primary reports nothing. */
+    fun chooseSuccessor(record: FleetRecord.Group = intent) {
+        inspectServers(record)
         report(NEAR_REPLICA, following)
         report(FAR_REPLICA, following)
         proxy.advanceTime(700)
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/DepartedSuccessorTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/DepartedSuccessorTest.kt
@@ -117,10 +117,7 @@
     @Test
     fun `a takeover does not keep the primary either`() {
         removeServer(NEAR_REPLICA)
-        repeat(2) {
-            proxy.readFleet(proxy.records(fixture.intent.copy(successor = NEAR_REPLICA)))
-            proxy.advanceTime(200)
-        }
+        fixture.inspectServers(fixture.intent.copy(successor = NEAR_REPLICA))
         proxy.takeEffects()
         reportRemaining()
         val written = fixture.writtenRecords()
--- /dev/null
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/OldLogSuccessorTest.kt
@@ -0,0 +1,42 @@
+package dev.hibiscusreach.sessions
+
+import dev.hibiscusreach.core.model.Position
+import dev.hibiscusreach.core.model.Term
+import dev.hibiscusreach.sessions.ProxyFixture.Companion.FAR_REPLICA
+import dev.hibiscusreach.sessions.ProxyFixture.Companion.NEAR_REPLICA
+import dev.hibiscusreach.sessions.ProxyFixture.Companion.PRIMARY
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEmpty
+
+/**
+ * Guards against acknowledged commits that are lost because a replaced primary is promoted again with its old log. It
+ * may be ahead of the replicas by commits that were never acknowledged.
+ */
+class OldLogSuccessorTest {
+    private val fixture = ChangeFixture()
+    private val intent = fixture.intent.copy(term = Term(2), primary = NEAR_REPLICA)
+
+    private fun reportReplaced() =
+        fixture.report(PRIMARY, fixture.leading.copy(received = Position(Term(1), 50)))
+
+    @Test
+    fun `a replica is chosen before a server that still leads an earlier term`() {
+        fixture.inspectServers(intent)
+        reportReplaced()
+        fixture.report(FAR_REPLICA, fixture.following.copy(received = Position(Term(1), 40)))
+        fixture.proxy.advanceTime(700)
+        expectThat(fixture.writtenRecords()).contains(intent.copy(successor = FAR_REPLICA))
+    }
+
+    @Test
+    fun `a server that still leads an earlier term is chosen only if no other one reports for long`() {
+        fixture.inspectServers(intent)
+        reportReplaced()
+        fixture.proxy.advanceTime(18_000)
+        expectThat(fixture.writtenRecords()).isEmpty()
+        fixture.proxy.advanceTime(3_000)
+        expectThat(fixture.writtenRecords()).contains(intent.copy(successor = PRIMARY))
+    }
+}
