--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangePublication.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangePublication.kt
@@ -40,7 +40,12 @@
     /** Ends the change and keeps the current primary. */
     fun keepPrimary(reduction: Reduction, group: GroupView, change: PrimaryChange, incumbent: ServerStatus) {
         val primary = group.record?.primary ?: return
-        reduction.log("primary kept", "group" to group.name, "primary" to primary, "requested" to group.record.successor)
+        reduction.log(
+            "primary kept",
+            "group" to group.name,
+            "primary" to primary,
+            "requested" to group.record.successor
+        )
         publish(reduction, group, change, primary, incumbent.term)
     }
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorChoice.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorChoice.kt
@@ -42,48 +42,37 @@
      */
     fun findSuccessor(reduction: Reduction, group: GroupView, change: PrimaryChange): ServerName? {
         val requested =
-            SuccessorRecording.outstanding(reduction, group, change) ?: incumbentToPromote(reduction, group, change)
+            SuccessorRecording.outstanding(reduction, group, change)
+                ?: IncumbentPromotion.candidate(reduction, group, change)
         val candidate =
             reduction
                 .servers(group.name)
-                .filter { if (requested == null) isEligible(group, it) else it.name == requested }
+                .filter { requested == null || it.name == requested }
+                .filter { it.name == requested || !it.leaving && it.name != group.record?.primary }
                 .filter { it.name !in change.rejected && it.name in change.statuses }
                 .sortedBy { ServerSelection.cost(reduction, it).value }
-                .maxWithOrNull(compareBy({ !hasOldLog(group, change, it.name) }, { change.statuses[it.name]?.received }))
+                .maxWithOrNull(
+                    compareBy({ !hasOldLog(group, change, it.name) }, { change.statuses[it.name]?.received })
+                )
                 ?.name
         val delayElapsed = reduction.now - change.phaseSince > reduction.settings.changes.incompleteSuccessorDelay
         return candidate?.takeIf { delayElapsed || hasAllCommits(reduction, group, change, it) }
     }
 
-    private fun isEligible(group: GroupView, server: RegisteredServer): Boolean =
-        !server.leaving && server.name != group.record?.primary
-
     // A server that still leads an earlier term has not followed the recorded primary, whatever its position is.
     private fun hasOldLog(group: GroupView, change: PrimaryChange, server: ServerName): Boolean =
         server != group.record?.primary && change.statuses[server]?.role == ServerRole.PRIMARY
 
-    // If a server that is gone may have led, the platform replaces the recorded primary by it once more when it returns.
-    // Only a promotion of its own gives the primary a later term than that server.
-    private fun incumbentToPromote(reduction: Reduction, group: GroupView, change: PrimaryChange): ServerName? {
-        val isLeading = isIncumbentReporting(group, change) && isIncumbentStaying(reduction, group)
-        return group.record?.primary?.takeIf { change.mayHaveLed.isNotEmpty() && isLeading && it !in change.rejected }
-    }
-
-    /** Whether the recorded primary is registered and not leaving. */
-    fun isIncumbentStaying(reduction: Reduction, group: GroupView): Boolean =
-        group.record?.let { reduction.state.server(it.primary) }?.leaving == false
-
     /**
-     * Whether [candidate] will have every acknowledged commit. One that has not followed the primary lacks some. Of a
-     * replica, nothing else is known if commits do not wait for replicas. With synchronous replication, that is known only if
-     * every replica has reported, or if the primary still reports its log position: the successor then receives the
-     * rest of the log before it is promoted.
+     * Whether [candidate] will have every acknowledged commit. One that has not followed the primary lacks some. With
+     * synchronous replication, it is known only if every replica has reported, or if the primary still reports its log
+     * position: the successor then receives the rest of the log before it is promoted.
      */
     fun hasAllCommits(reduction: Reduction, group: GroupView, change: PrimaryChange, candidate: ServerName): Boolean {
         val needsNoReports = !isReplicationSynchronous(reduction, group) || isIncumbentReporting(group, change)
+        val hasOldLog = hasOldLog(group, change, candidate)
         val record = group.record
-        if (hasOldLog(group, change, candidate)) return false
-        if (needsNoReports || record == null) return needsNoReports
+        if (hasOldLog || needsNoReports || record == null) return needsNoReports && !hasOldLog
         val requiredReplicas = record.replicas + replicas(reduction, group).map { it.name }
         val floor = record.floor
         val reachesFloor = floor == null || change.statuses.getValue(candidate).received >= floor
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorPromotion.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorPromotion.kt
@@ -89,7 +89,7 @@
         incumbent: ServerStatus,
     ): Boolean {
         val mayBeReplaced = SuccessorRecording.outstanding(reduction, group, change) != null
-        val isLeading = incumbent.role == ServerRole.PRIMARY && SuccessorChoice.isIncumbentStaying(reduction, group)
+        val isLeading = incumbent.role == ServerRole.PRIMARY && IncumbentPromotion.isStaying(reduction, group)
         return isLeading && !mayBeReplaced && change.mayHaveLed.isEmpty()
     }
 
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/OutstandingPromotionTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/OutstandingPromotionTest.kt
@@ -8,7 +8,6 @@
 import dev.hibiscusreach.sessions.ProxyFixture.Companion.GROUP
 import dev.hibiscusreach.sessions.ProxyFixture.Companion.NEAR_REPLICA
 import dev.hibiscusreach.sessions.ProxyFixture.Companion.PRIMARY
-import dev.hibiscusreach.sessions.ProxyFixture.Companion.SERVERS
 import dev.hibiscusreach.sessions.event.PromotionOutcome
 import dev.hibiscusreach.sessions.event.SessionEffect
 import dev.hibiscusreach.sessions.event.SessionEvent
