Replace a primary when another server answers that it leads a later term

Cause: a promotion request may be carried out after its change has ended, for example for a server that was gone and has returned. Nobody compared the term that a server leads with the record, so the homes went on with the recorded primary. Class of fault: an effect with an unknown outcome is treated as one that did not happen.

A server whose entry reports the primary role beside the recorded one is told to step down each second; it answers with its term. A later one begins a change of primary, which publishes the server that leads, or promotes the recorded primary anew if the other one is gone meanwhile.

The time between the promotion and the answer remains.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangeFencing.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangeFencing.kt
@@ -25,7 +25,8 @@
                 unfenced = peers,
                 asked = peers,
                 membersRead = false,
-                mayHaveLed = setOfNotNull(group.record.successor),
+                mayHaveLed =
+                setOfNotNull(group.record.successor) + StepDownRequests.laterPrimaries(reduction, group.record),
             )
         PrimaryChanges.enterPhase(reduction, group, fencing, ChangePhase.FENCING)
         PrimaryFencing.fencePrimary(reduction, group.name, epoch, change.reason.planned)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryFailureDetection.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryFailureDetection.kt
@@ -68,6 +68,7 @@
             refusedAt != null && silence > changes.refusedSuspicionTimeout -> ChangeReason.REFUSING
             silence > changes.suspicionTimeout -> ChangeReason.SILENT
             deposed -> ChangeReason.DEPOSED
+            StepDownRequests.laterPrimaries(reduction, record).isNotEmpty() -> ChangeReason.SUPERSEDED
             server?.leaving == true -> ChangeReason.LEAVING
             else -> null
         }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/StepDownRequests.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/StepDownRequests.kt
@@ -6,13 +6,15 @@
 import dev.hibiscusreach.sessions.event.ControlRequest
 import dev.hibiscusreach.sessions.event.SessionEffect
 import dev.hibiscusreach.sessions.event.SessionEvent
+import dev.hibiscusreach.sessions.model.FleetRecord
 import dev.hibiscusreach.sessions.model.GroupName
 import dev.hibiscusreach.sessions.state.GroupView
 
 /**
  * Tells servers that were replaced as primaries to become replicas. A server may miss the request of the change that
  * replaced it, because it is down or not registered then. It would go on as a primary with an old log, so it is told
- * again for as long as its entry reports the primary role.
+ * again for as long as its entry reports the primary role. One that answers with a later term has replaced the recorded
+ * primary, by a promotion that was carried out after its change had ended.
  */
 internal object StepDownRequests {
     /** Tells each registered server of [group] that reports the primary role beside the recorded primary. */
@@ -24,7 +26,7 @@
             val isReplaced = server.role == ServerRole.PRIMARY && server.name != record.primary
             val next = reduction.now + reduction.settings.changes.retryPause
             when {
-                !isReplaced -> if (due != null) reduction.updateHealth(server.name) { it.copy(stepDownDue = null) }
+                !isReplaced -> if (due != null) forget(reduction, server.name)
                 due == null ->
                     reduction.updateHealth(server.name) {
                         it.copy(stepDownDue = next + reduction.settings.changes.rankDelay * rank)
@@ -50,14 +52,34 @@
         server?.let { reduction.emit(SessionEffect.SendControl(it, ControlRequest.StepDown(term.number))) }
     }
 
-    /** Logs the status with which a server answers a request; null if it didn't answer. */
-    fun handleAnswer(reduction: Reduction, event: SessionEvent.ControlAnswered) =
+    private fun forget(reduction: Reduction, server: ServerName) =
+        reduction.updateHealth(server) { it.copy(stepDownDue = null, leadsTerm = null) }
+
+    /** Handles the status with which a server answers a request; it leads on if its term is not an earlier one. */
+    fun handleAnswer(reduction: Reduction, event: SessionEvent.ControlAnswered) {
+        val status = event.status
         reduction.log(
             "step-down answered",
             "group" to reduction.state.server(event.server)?.group,
             "server" to event.server,
-            "role" to event.status?.role?.name,
-            "term" to event.status?.term,
-            "received" to event.status?.received,
+            "role" to status?.role?.name,
+            "term" to status?.term,
+            "received" to status?.received,
         )
+        if (status != null) {
+            val leadsTerm = status.term.takeIf { status.role == ServerRole.PRIMARY }
+            reduction.updateHealth(event.server) { it.copy(leadsTerm = leadsTerm) }
+        }
+    }
+
+    /** The servers of the group of [record] that have answered that they lead a later term than its primary. */
+    fun laterPrimaries(reduction: Reduction, record: FleetRecord.Group): Set<ServerName> =
+        reduction
+            .servers(GroupName(record.group))
+            .map { it.name }
+            .filter { it != record.primary && leadsLaterTerm(reduction, it, record.term) }
+            .toSet()
+
+    private fun leadsLaterTerm(reduction: Reduction, server: ServerName, term: Term): Boolean =
+        reduction.health(server).leadsTerm?.let { it > term } ?: false
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/GroupView.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/GroupView.kt
@@ -71,6 +71,7 @@
     REFUSING("the primary's host refuses connections"),
     SILENT("the primary does not answer"),
     DEPOSED("the primary reports the replica role"),
+    SUPERSEDED("another server leads a later term"),
     ABANDONED("the proxy that replaces the primary makes no progress"),
     RESTORED("the store was restored and may lack the latest change"),
     ;
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/ServerConnection.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/ServerConnection.kt
@@ -4,6 +4,7 @@
 import dev.hibiscusreach.core.model.Millis
 import dev.hibiscusreach.core.model.MonotonicTime
 import dev.hibiscusreach.core.model.ServerName
+import dev.hibiscusreach.core.model.Term
 import dev.hibiscusreach.sessions.event.SessionNumber
 import dev.hibiscusreach.sessions.model.GroupName
 import dev.hibiscusreach.sessions.model.PreparedStatement
@@ -63,4 +64,6 @@
     val notPrimaryAt: MonotonicTime? = null,
     /** When it is next told to step down; null unless its entry reports the primary role after it was replaced. */
     val stepDownDue: MonotonicTime? = null,
+    /** The term that it leads, as it answered when it was told to step down; null if it did not, or follows again. */
+    val leadsTerm: Term? = null,
 )
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/RepeatedStepDownTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/RepeatedStepDownTest.kt
@@ -1,6 +1,7 @@
 package dev.hibiscusreach.sessions
 
 import dev.hibiscusreach.core.event.ServerRole
+import dev.hibiscusreach.core.model.Position
 import dev.hibiscusreach.core.model.ServerName
 import dev.hibiscusreach.core.model.Term
 import dev.hibiscusreach.sessions.ProxyFixture.Companion.GROUP_RECORD
@@ -10,8 +11,10 @@
 import dev.hibiscusreach.sessions.event.ControlRequest
 import dev.hibiscusreach.sessions.event.SessionEffect
 import dev.hibiscusreach.sessions.event.SessionEvent
+import dev.hibiscusreach.sessions.model.ServerStatus
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
@@ -71,4 +74,28 @@
         proxy.advanceTime(3_000)
         expectThat(stepDowns()).isEmpty()
     }
+
+    // Guards against writes at a primary that was replaced by a promotion which took effect after its change had ended.
+    @Test
+    fun `a server that answers that it leads a later term has replaced the recorded primary`() {
+        readServers(PRIMARY to ServerRole.PRIMARY, NEAR_REPLICA to ServerRole.PRIMARY)
+        proxy.advanceTime(1_200)
+        val status = ServerStatus(ServerRole.PRIMARY, Term(3), Position(Term(3), 20))
+        proxy.feed(SessionEvent.ControlAnswered(PRIMARY, ControlRequest.StepDown(2), status))
+        proxy.takeEffects()
+        proxy.advanceTime(200)
+        val intents = proxy.takeEffects().filterIsInstance<SessionEffect.WriteFleet>().map { it.record }
+        expectThat(intents).contains(replaced.copy(epoch = 3, changedBy = ProxyFixture.identity("node-1")))
+    }
+
+    @Test
+    fun `a server that answers that it leads the recorded term has not`() {
+        readServers(PRIMARY to ServerRole.PRIMARY, NEAR_REPLICA to ServerRole.PRIMARY)
+        proxy.advanceTime(1_200)
+        val status = ServerStatus(ServerRole.PRIMARY, Term(2), Position(Term(2), 20))
+        proxy.feed(SessionEvent.ControlAnswered(PRIMARY, ControlRequest.StepDown(2), status))
+        proxy.takeEffects()
+        proxy.advanceTime(300)
+        expectThat(proxy.takeEffects().filterIsInstance<SessionEffect.WriteFleet>()).isEmpty()
+    }
 }
