Let a promotion without a known outcome decide who leads, and confirm it afresh

What callers could see: writes acknowledged at a second primary (rule ONE), or a group without a primary.

- A server that led was published while the promotion of another one could still take effect, because the recorded primary never counted as outstanding, and the check for a leading server did not ask.
Only the outstanding server is published now; otherwise its promotion is requested again.
- An accepted promotion of the recorded primary was taken for one without effect by a status from before it could take effect, or while another server reported a later term.
The servers are now asked afresh after the time-out.
- A rejected promotion of the recorded primary was never repeated, also if no other server was left.
It is the last resort now.
- A recorded primary that follows a server which is gone was not eligible.
It is a replica like the others now.
- The term that a later primary leads was known to one proxy only.
The intent names that server as successor, so that takeovers know it.
- Nobody was told to step down during a change.
Only the named successor isn't.

Class of fault: as before, an effect with an unknown outcome treated as known.

The test of the kept primary reports afresh after the time-out, as it has to.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangeFencing.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangeFencing.kt
@@ -25,8 +25,7 @@
                 unfenced = peers,
                 asked = peers,
                 membersRead = false,
-                mayHaveLed =
-                setOfNotNull(group.record.successor) + StepDownRequests.laterPrimaries(reduction, group.record),
+                mayHaveLed = setOfNotNull(group.record.successor),
             )
         PrimaryChanges.enterPhase(reduction, group, fencing, ChangePhase.FENCING)
         PrimaryFencing.fencePrimary(reduction, group.name, epoch, change.reason.planned)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryChanges.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryChanges.kt
@@ -27,6 +27,7 @@
                 epoch = StoreEras.nextEpoch(reduction, record.epoch),
                 changedBy = reduction.state.self.identity,
                 era = StoreEras.current(reduction),
+                successor = record.successor ?: StepDownRequests.laterPrimaries(reduction, record).firstOrNull(),
             )
         val intent = DepartedReplicas.withCommitRequirements(reduction, group, next)
         reduction.log(
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/StepDownRequests.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/StepDownRequests.kt
@@ -17,13 +17,14 @@
  * primary, by a promotion that was carried out after its change had ended.
  */
 internal object StepDownRequests {
-    /** Tells each registered server of [group] that reports the primary role beside the recorded primary. */
+    /** Tells each registered server of [group] that reports the primary role and is neither recorded nor promoted. */
     fun review(reduction: Reduction, group: GroupView) {
-        val record = group.record?.takeIf { it.changedBy == null } ?: return
+        val record = group.record ?: return
         val rank = ProxyRanking.ownRank(reduction, group.name) ?: return
         for (server in reduction.servers(group.name)) {
             val due = reduction.health(server.name).stepDownDue
-            val isReplaced = server.role == ServerRole.PRIMARY && server.name != record.primary
+            val isOther = server.name != record.primary && server.name != record.successor
+            val isReplaced = isOther && server.role == ServerRole.PRIMARY
             val next = reduction.now + reduction.settings.changes.retryPause
             when {
                 !isReplaced -> if (due != null) forget(reduction, server.name)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorChoice.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorChoice.kt
@@ -48,17 +48,24 @@
             reduction
                 .servers(group.name)
                 .filter { requested == null || it.name == requested }
-                .filter { it.name == requested || !it.leaving && it.name != group.record?.primary }
+                .filter { it.name == requested || isEligible(group, change, it) }
                 .filter { it.name !in change.rejected && it.name in change.statuses }
                 .sortedBy { ServerSelection.cost(reduction, it).value }
                 .maxWithOrNull(
                     compareBy({ !hasOldLog(group, change, it.name) }, { change.statuses[it.name]?.received })
                 )
                 ?.name
+                ?: IncumbentPromotion.candidate(reduction, group, change.copy(rejected = emptySet()))
         val delayElapsed = reduction.now - change.phaseSince > reduction.settings.changes.incompleteSuccessorDelay
         return candidate?.takeIf { delayElapsed || hasAllCommits(reduction, group, change, it) }
     }
 
+    // The recorded primary is a replica like the others once it follows another server.
+    private fun isEligible(group: GroupView, change: PrimaryChange, server: RegisteredServer): Boolean {
+        val isReplica = change.statuses[server.name]?.role == ServerRole.REPLICA
+        return !server.leaving && (isReplica || server.name != group.record?.primary)
+    }
+
     // A server that still leads an earlier term has not followed the recorded primary, whatever its position is.
     private fun hasOldLog(group: GroupView, change: PrimaryChange, server: ServerName): Boolean =
         server != group.record?.primary && change.statuses[server]?.role == ServerRole.PRIMARY
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorPromotion.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorPromotion.kt
@@ -58,7 +58,7 @@
 
     private fun checkStatuses(reduction: Reduction, group: GroupView, change: PrimaryChange) {
         val record = group.record ?: return
-        val newPrimary = SuccessorChoice.findNewPrimary(record, change)
+        val newPrimary = SuccessorRecording.findNewPrimary(reduction, group, change)
         val incumbent = change.statuses[record.primary]
         val elapsed = reduction.now - change.phaseSince
         val allReported = reduction.servers(group.name).all { it.name in change.statuses }
@@ -68,7 +68,7 @@
             change.reason == ChangeReason.RESTORED && !isComplete -> requestDueStatuses(reduction, group, change)
             // Another server may lead already: the proxy that changed the primary before may have promoted it.
             newPrimary != null ->
-                ChangePublication.publish(reduction, group, change, newPrimary.key, newPrimary.value.term)
+                ChangePublication.publish(reduction, group, change, newPrimary.server, newPrimary.term)
             incumbent != null && isComplete && mayKeepPrimary(reduction, group, change, incumbent) ->
                 ChangePublication.keepPrimary(reduction, group, change, incumbent)
             successor != null && isComplete && StoreEras.isSettled(reduction) ->
@@ -88,9 +88,10 @@
         change: PrimaryChange,
         incumbent: ServerStatus,
     ): Boolean {
-        val mayBeReplaced = SuccessorRecording.outstanding(reduction, group, change) != null
+        val mayBeReplaced =
+            SuccessorRecording.outstanding(reduction, group, change) != null || change.mayHaveLed.isNotEmpty()
         val isLeading = incumbent.role == ServerRole.PRIMARY && IncumbentPromotion.isStaying(reduction, group)
-        return isLeading && !mayBeReplaced && change.mayHaveLed.isEmpty()
+        return isLeading && (change.primaryConfirmed || !mayBeReplaced)
     }
 
     private fun acceptSuccessor(
@@ -122,14 +123,14 @@
     private fun checkCatchUp(reduction: Reduction, group: GroupView, change: PrimaryChange) {
         val successor = change.successor ?: return
         val record = group.record ?: return
-        val newPrimary = SuccessorChoice.findNewPrimary(record, change)
+        val newPrimary = SuccessorRecording.findNewPrimary(reduction, group, change)
         val received = change.statuses[successor]?.received
         val incumbent = change.statuses[record.primary]
         val isLate = reduction.now - change.phaseSince > reduction.settings.changes.catchUpTimeout
         val mayBeReplaced = SuccessorRecording.outstanding(reduction, group, change) != null
         when {
             newPrimary != null ->
-                ChangePublication.publish(reduction, group, change, newPrimary.key, newPrimary.value.term)
+                ChangePublication.publish(reduction, group, change, newPrimary.server, newPrimary.term)
             received != null && incumbent != null && received >= incumbent.received || isLate && mayBeReplaced ->
                 SuccessorRecording.start(reduction, group, change)
             isLate && change.mayHaveLed.isNotEmpty() ->
@@ -147,10 +148,11 @@
         when {
             status != null && status.term > record.term ->
                 ChangePublication.publish(reduction, group, change, successor, status.term)
-            // The request has no effect on a server that leads for the platform as well: no other one has led.
-            isLate && status != null && successor == record.primary && change.promotionAccepted ->
-                ChangePublication.keepPrimary(reduction, group, change, status)
-            isLate -> inspectServers(reduction, group, change)
+            isLate -> {
+                // An accepted request has no effect on a server that leads for the platform as well.
+                val isConfirmed = successor == record.primary && change.promotionAccepted
+                inspectServers(reduction, group, change.copy(primaryConfirmed = isConfirmed))
+            }
             isPollDue(reduction, change) -> SuccessorChoice.requestStatuses(reduction, group)
         }
     }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorRecording.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorRecording.kt
@@ -1,6 +1,7 @@
 package dev.hibiscusreach.sessions.part
 
 import dev.hibiscusreach.core.model.ServerName
+import dev.hibiscusreach.core.model.Term
 import dev.hibiscusreach.sessions.event.SessionEffect
 import dev.hibiscusreach.sessions.model.FleetKey
 import dev.hibiscusreach.sessions.model.Revision
@@ -47,6 +48,22 @@
      */
     fun outstanding(reduction: Reduction, group: GroupView, change: PrimaryChange): ServerName? =
         group.record?.successor?.takeIf { requested ->
-            requested !in change.rejected && SuccessorChoice.replicas(reduction, group).any { it.name == requested }
+            val isRegistered = reduction.servers(group.name).any { it.name == requested }
+            isRegistered && requested !in change.rejected && !change.primaryConfirmed
         }
+
+    /**
+     * The server that leads in place of the recorded primary; null if none does, or if the promotion of another server
+     * may still take effect and replace it.
+     */
+    fun findNewPrimary(reduction: Reduction, group: GroupView, change: PrimaryChange): NewPrimary? {
+        val requested = outstanding(reduction, group, change)
+        val leading = group.record?.let { SuccessorChoice.findNewPrimary(it, change) }
+        return leading
+            ?.takeIf { requested == null || it.key == requested }
+            ?.let { NewPrimary(it.key, it.value.term) }
+    }
 }
+
+/** A server that leads [term] in place of the recorded primary. */
+internal data class NewPrimary(val server: ServerName, val term: Term)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/GroupView.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/GroupView.kt
@@ -109,6 +109,8 @@
     val mayHaveLed: Set<ServerName> = emptySet(),
     /** Whether the latest promotion request was accepted; false while its outcome is unknown. */
     val promotionAccepted: Boolean = false,
+    /** Whether the promotion of the recorded primary was accepted and had no effect, so that no other server has led. */
+    val primaryConfirmed: Boolean = false,
     val promoterLock: PromoterLock? = null,
     val published: FleetRecord.Group? = null,
 )
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/DepartedSuccessorTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/DepartedSuccessorTest.kt
@@ -80,8 +80,9 @@
         answerPromotion(PRIMARY, PromotionOutcome.ACCEPTED)
         proxy.advanceTime(500)
         fixture.report(PRIMARY, fixture.leading)
-        expectThat(keepsPrimary()).isEqualTo(false)
         proxy.advanceTime(2_500)
+        expectThat(keepsPrimary()).isEqualTo(false)
+        reportRemaining()
         expectThat(keepsPrimary()).isEqualTo(true)
     }
 
