--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PromoterLocking.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PromoterLocking.kt
@@ -22,7 +22,7 @@
      */
     fun advance(reduction: Reduction, group: GroupView, change: PrimaryChange) {
         val fleet = reduction.state.fleet
-        val newPrimary = SuccessorRecording.findNewPrimary(reduction, group, change)
+        val newPrimary = LeadingServer.find(reduction, group, change)
         val stored = fleet.records[FleetKey.PROMOTER]
         val holder = (stored?.record as? FleetRecord.Promoter)?.holder
         val stale =
@@ -30,7 +30,7 @@
         val available = holder == null || holder.node == reduction.state.self.identity.node || stale
         when {
             newPrimary != null ->
-                ChangePublication.publish(reduction, group, change, newPrimary.server, newPrimary.term)
+                ChangePublication.publish(reduction, group, change, newPrimary.name, newPrimary.term)
             !PrimaryChanges.areRequestsDue(reduction, change) -> Unit
             !available -> {
                 // The holder may have requested the promotion of the same successor.
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorChoice.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorChoice.kt
@@ -4,9 +4,7 @@
 import dev.hibiscusreach.core.model.ServerName
 import dev.hibiscusreach.sessions.event.ControlRequest
 import dev.hibiscusreach.sessions.event.SessionEffect
-import dev.hibiscusreach.sessions.model.FleetRecord
 import dev.hibiscusreach.sessions.model.RegisteredServer
-import dev.hibiscusreach.sessions.model.ServerStatus
 import dev.hibiscusreach.sessions.state.GroupView
 import dev.hibiscusreach.sessions.state.PrimaryChange
 
@@ -86,17 +84,6 @@
         return reachesFloor && requiredReplicas.all { it in change.statuses }
     }
 
-    /** The server that reports that it leads in place of the recorded primary; null if none does. */
-    fun findNewPrimary(record: FleetRecord.Group, change: PrimaryChange): Map.Entry<ServerName, ServerStatus>? =
-        change.statuses.entries.filter { isNewPrimary(record, it.key, it.value) }.maxByOrNull { it.value.term }
-
-    // A term has only one primary, so another server that leads in the recorded term is the old primary with its log
-    // under a new name.
-    private fun isNewPrimary(record: FleetRecord.Group, server: ServerName, status: ServerStatus): Boolean {
-        val isOther = status.term > record.term || status.term == record.term && server != record.primary
-        return status.role == ServerRole.PRIMARY && isOther
-    }
-
     /** Whether the recorded primary has reported the primary role, so that the successor can catch up with it. */
     fun isIncumbentReporting(group: GroupView, change: PrimaryChange): Boolean =
         group.record?.let { change.statuses[it.primary]?.role } == ServerRole.PRIMARY
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorPromotion.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorPromotion.kt
@@ -58,7 +58,7 @@
 
     private fun checkStatuses(reduction: Reduction, group: GroupView, change: PrimaryChange) {
         val record = group.record ?: return
-        val newPrimary = SuccessorRecording.findNewPrimary(reduction, group, change)
+        val newPrimary = LeadingServer.find(reduction, group, change)
         val incumbent = change.statuses[record.primary]
         val elapsed = reduction.now - change.phaseSince
         val allReported = reduction.servers(group.name).all { it.name in change.statuses }
@@ -68,7 +68,7 @@
             change.reason == ChangeReason.RESTORED && !isComplete -> requestDueStatuses(reduction, group, change)
             // Another server may lead already: the proxy that changed the primary before may have promoted it.
             newPrimary != null ->
-                ChangePublication.publish(reduction, group, change, newPrimary.server, newPrimary.term)
+                ChangePublication.publish(reduction, group, change, newPrimary.name, newPrimary.term)
             incumbent != null && isComplete && mayKeepPrimary(reduction, group, change, incumbent) ->
                 ChangePublication.keepPrimary(reduction, group, change, incumbent)
             successor != null && isComplete && StoreEras.isSettled(reduction) ->
@@ -123,14 +123,14 @@
     private fun checkCatchUp(reduction: Reduction, group: GroupView, change: PrimaryChange) {
         val successor = change.successor ?: return
         val record = group.record ?: return
-        val newPrimary = SuccessorRecording.findNewPrimary(reduction, group, change)
+        val newPrimary = LeadingServer.find(reduction, group, change)
         val received = change.statuses[successor]?.received
         val incumbent = change.statuses[record.primary]
         val isLate = reduction.now - change.phaseSince > reduction.settings.changes.catchUpTimeout
         val mayBeReplaced = SuccessorRecording.outstanding(reduction, group, change) != null
         when {
             newPrimary != null ->
-                ChangePublication.publish(reduction, group, change, newPrimary.server, newPrimary.term)
+                ChangePublication.publish(reduction, group, change, newPrimary.name, newPrimary.term)
             received != null && incumbent != null && received >= incumbent.received || isLate && mayBeReplaced ->
                 SuccessorRecording.start(reduction, group, change)
             isLate && change.mayHaveLed.isNotEmpty() ->
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorRecording.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorRecording.kt
@@ -1,7 +1,6 @@
 package dev.hibiscusreach.sessions.part
 
 import dev.hibiscusreach.core.model.ServerName
-import dev.hibiscusreach.core.model.Term
 import dev.hibiscusreach.sessions.event.SessionEffect
 import dev.hibiscusreach.sessions.model.FleetKey
 import dev.hibiscusreach.sessions.model.Revision
@@ -51,19 +50,4 @@
             val isRegistered = reduction.servers(group.name).any { it.name == requested }
             isRegistered && requested !in change.rejected && !change.primaryConfirmed
         }
-
-    /**
-     * The server that leads in place of the recorded primary; null if none does, or if the promotion of another server
-     * may still take effect and replace it.
-     */
-    fun findNewPrimary(reduction: Reduction, group: GroupView, change: PrimaryChange): NewPrimary? {
-        val requested = outstanding(reduction, group, change)
-        val leading = group.record?.let { SuccessorChoice.findNewPrimary(it, change) }
-        return leading
-            ?.takeIf { requested == null || it.key == requested }
-            ?.let { NewPrimary(it.key, it.value.term) }
-    }
 }
-
-/** A server that leads [term] in place of the recorded primary. */
-internal data class NewPrimary(val server: ServerName, val term: Term)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/GroupView.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/GroupView.kt
@@ -109,7 +109,7 @@
     val mayHaveLed: Set<ServerName> = emptySet(),
     /** Whether the latest promotion request was accepted; false while its outcome is unknown. */
     val promotionAccepted: Boolean = false,
-    /** Whether the promotion of the recorded primary was accepted and had no effect, so that no other server has led. */
+    /** Whether a promotion of the recorded primary was accepted without effect, so that no other server has led. */
     val primaryConfirmed: Boolean = false,
     val promoterLock: PromoterLock? = null,
     val published: FleetRecord.Group? = null,
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/RepeatedStepDownTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/RepeatedStepDownTest.kt
@@ -86,9 +86,8 @@
         proxy.takeEffects()
         proxy.advanceTime(200)
         val intents = proxy.takeEffects().filterIsInstance<SessionEffect.WriteFleet>().map { it.record }
-        expectThat(
-            intents
-        ).contains(replaced.copy(epoch = 3, changedBy = ProxyFixture.identity("node-1"), successor = PRIMARY))
+        val intent = replaced.copy(epoch = 3, changedBy = ProxyFixture.identity("node-1"), successor = PRIMARY)
+        expectThat(intents).contains(intent)
     }
 
     @Test
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/UnresolvedPromotionTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/UnresolvedPromotionTest.kt
@@ -28,8 +28,8 @@
 import strikt.assertions.isNotEmpty
 
 /**
- * Changes of primary with a promotion whose outcome is not known, or whose server is gone. Guards against two primaries,
- * lost commits and groups that stay without a primary.
+ * Changes of primary with a promotion whose outcome is not known, or whose server is gone. Guards against two
+ * primaries, lost commits and groups that stay without a primary.
  */
 class UnresolvedPromotionTest {
     private val fixture = ChangeFixture()
