--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/backend/HttpServerControl.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/backend/HttpServerControl.kt
@@ -29,6 +29,7 @@
     private fun event(effect: Effect.SendControlCommand, outcome: HttpOutcome): Event =
         when (outcome) {
             is HttpOutcome.Failed -> Event.ControlFailed(effect.call, effect.server, outcome.failure)
+            is HttpOutcome.TooLong -> Event.ControlFailed(effect.call, effect.server, ConnectionFailure.BROKEN)
             is HttpOutcome.Answered ->
                 decode(outcome)
                     ?.let { Event.ControlAnswered(effect.call, effect.server, it) }
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpCall.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpCall.kt
@@ -21,6 +21,12 @@
     val repeatable: Boolean = true,
 )
 
+/** Makes HTTP calls. */
+fun interface HttpCaller {
+    /** Makes [call]; [done] is called once, within the call's timeout. */
+    fun call(call: HttpCall, done: (HttpOutcome) -> Unit)
+}
+
 /** How an [HttpCall] ended. */
 sealed interface HttpOutcome {
     /** A complete response was received. */
@@ -34,6 +40,9 @@
         fun header(name: String): String? = headers.entries.find { it.key.equals(name, ignoreCase = true) }?.value
     }
 
+    /** The response is longer than [maximumBytes]; the request was carried out. */
+    data class TooLong(val maximumBytes: Int) : HttpOutcome
+
     /** No complete response was received. */
     data class Failed(val failure: ConnectionFailure) : HttpOutcome
 }
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpClient.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpClient.kt
@@ -12,12 +12,12 @@
 class HttpClient(
     group: EventLoopGroup,
     private val maximumResponseBytes: Int,
-) : AutoCloseable {
+) : HttpCaller,
+    AutoCloseable {
     private val executor = group.next()
     private val destinations = HashMap<Endpoint, Destination>()
 
-    /** Makes [call]; [done] is called once, within the call's timeout. */
-    fun call(call: HttpCall, done: (HttpOutcome) -> Unit) {
+    override fun call(call: HttpCall, done: (HttpOutcome) -> Unit) {
         executor.execute {
             val destination = destinations.getOrPut(call.endpoint) { Destination(call.endpoint) }
             val exchange = HttpExchange(call, done)
@@ -77,6 +77,8 @@
             val exchange = busy.remove(connection)
             when {
                 exchange == null -> Unit
+                // The same request would have the same response on another connection.
+                connection.receivedTooMuch -> exchange.end(HttpOutcome.TooLong(maximumResponseBytes))
                 exchange.isRetryable -> connect(exchange)
                 else -> exchange.end(HttpOutcome.Failed(failure))
             }
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpConnection.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpConnection.kt
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.TooLongHttpContentException
 import org.slf4j.LoggerFactory
 import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
@@ -43,6 +44,10 @@
     var idleTimeout: Future<*>? = null
     private var finished = false
 
+    /** Whether a response was longer than the limit, for which the connection is closed. */
+    var receivedTooMuch = false
+        private set
+
     /** Starts to connect; the listener is notified of the result. */
     fun connect(group: EventLoopGroup, timeoutMillis: Int, maximumResponseBytes: Int) {
         val connecting =
@@ -96,6 +101,7 @@
     @Deprecated("Netty declares the method as deprecated for handlers other than inbound ones")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         log.debug("connection to {} failed", endpoint, cause)
+        if (cause is TooLongHttpContentException) receivedTooMuch = true
         context.close()
     }
 
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/platform/HttpPlatformClient.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/platform/HttpPlatformClient.kt
@@ -76,6 +76,7 @@
             when (outcome) {
                 is HttpOutcome.Answered ->
                     outcome.status == PlatformWire.STATUS_UNAVAILABLE && request !is PlatformCall.Put
+                is HttpOutcome.TooLong -> false
                 is HttpOutcome.Failed ->
                     outcome.failure == ConnectionFailure.REFUSED || request !is PlatformCall.Put
             }
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/platform/PlatformWire.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/platform/PlatformWire.kt
@@ -47,6 +47,7 @@
     fun answer(call: PlatformCall, outcome: HttpOutcome): PlatformAnswer =
         when (outcome) {
             is HttpOutcome.Failed -> PlatformAnswer.Failed(outcome.failure.name.lowercase())
+            is HttpOutcome.TooLong -> PlatformAnswer.Failed("the answer exceeds ${outcome.maximumBytes} bytes")
             is HttpOutcome.Answered ->
                 try {
                     decode(call, outcome) ?: PlatformAnswer.Failed("status ${outcome.status}")
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/SessionReducer.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/SessionReducer.kt
@@ -52,6 +52,7 @@
         when (event) {
             is SessionEvent.ConfigurationRead -> ServerRegistry.applyConfiguration(reduction, event.configuration)
             is SessionEvent.ConfigurationConfirmed -> ConfigurationFreshness.confirmed(reduction, event)
+            is SessionEvent.ConfigurationUnusable -> ConfigurationFreshness.unusable(reduction, event)
             is SessionEvent.ServersRead -> ServerRegistry.read(reduction, event)
             else -> FleetEvents.handle(reduction, event)
         }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEvent.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEvent.kt
@@ -91,6 +91,12 @@
     /** A read that was sent at [readAt], by this proxy or a peer, has shown the latest configuration. */
     data class ConfigurationConfirmed(val readAt: MonotonicTime) : SessionEvent
 
+    /**
+     * The store has answered, but its answer cannot be used for [reason]; which version of the configuration is in
+     * force is not known.
+     */
+    data class ConfigurationUnusable(val reason: String) : SessionEvent
+
     /** The list of registered servers was read or has changed. */
     data class ServersRead(val servers: Map<ServerName, RegisteredServer>) : SessionEvent
 
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ConfigurationFreshness.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ConfigurationFreshness.kt
@@ -1,8 +1,10 @@
 package dev.hibiscusreach.sessions.part
 
+import dev.hibiscusreach.core.event.LogLevel
 import dev.hibiscusreach.core.model.Millis
 import dev.hibiscusreach.sessions.event.SessionEffect
 import dev.hibiscusreach.sessions.event.SessionEvent
+import dev.hibiscusreach.sessions.state.ConfigurationFault
 
 /**
  * Limits the age of what is known of the configuration. The source of reads may be a peer that has lost the store, or
@@ -13,6 +15,31 @@
     fun confirmed(reduction: Reduction, event: SessionEvent.ConfigurationConfirmed) {
         val known = reduction.state.configurationConfirmedAt
         reduction.state = reduction.state.copy(configurationConfirmedAt = maxOf(event.readAt, known ?: event.readAt))
+        val fault = reduction.state.configurationFault
+        if (fault != null && event.readAt >= fault.since) endFault(reduction, fault)
+    }
+
+    /** Records that the store has answered with something that cannot be used. */
+    fun unusable(reduction: Reduction, event: SessionEvent.ConfigurationUnusable) {
+        if (reduction.state.configurationFault != null) return
+        val fault = ConfigurationFault(event.reason, since = reduction.now)
+        reduction.state = reduction.state.copy(configurationFault = fault)
+        reduction.log(
+            "configuration cannot be followed",
+            "reason" to event.reason,
+            "inForce" to reduction.state.configuration?.version,
+            "sinceConfirmedMillis" to age(reduction)?.value,
+            level = LogLevel.ERROR,
+        )
+    }
+
+    private fun endFault(reduction: Reduction, fault: ConfigurationFault) {
+        reduction.state = reduction.state.copy(configurationFault = null)
+        reduction.log(
+            "configuration followed again",
+            "version" to reduction.state.configuration?.version,
+            "millis" to (reduction.now - fault.since).value,
+        )
     }
 
     /** Age of what is known of the configuration; null before the first read. */
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ForwardedArrivals.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ForwardedArrivals.kt
@@ -52,7 +52,7 @@
         when {
             reduction.state.stoppingSince != null -> "the home is stopping"
             !GroupHomes.isHome(reduction, statement.route.group) -> "the proxy is no home of the group"
-            !reduction.state.ready -> "the home has not read the configuration and the servers"
+            !reduction.state.serving -> "the home has not read the configuration and the servers"
             else -> null
         }
 
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupMonitoring.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupMonitoring.kt
@@ -19,7 +19,7 @@
     fun review(reduction: Reduction) {
         HomeAssignment.review(reduction)
         val configured = reduction.state.configuration?.groups?.keys.orEmpty()
-        if (reduction.state.ready) ConnectionPools.warmUp(reduction)
+        if (reduction.state.serving) ConnectionPools.warmUp(reduction)
         ConnectionPools.evictIdle(reduction)
         for (name in configured + reduction.state.groups.keys) {
             val group = reduction.group(name)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
@@ -29,6 +29,8 @@
     val configurationConfirmedAt: MonotonicTime? = null,
     /** When the store itself was last asked because the configuration was too old; null before the first review. */
     val configurationVerifiedAt: MonotonicTime? = null,
+    /** Why the latest configuration cannot be read although the store answers; null if it can. */
+    val configurationFault: ConfigurationFault? = null,
     val serversKnown: Boolean = false,
     val servers: PersistentMap<ServerName, KnownServer> = persistentMapOf(),
     val fleet: FleetView = FleetView(),
@@ -54,10 +56,13 @@
     val listeningUntil: MonotonicTime? = null,
     val exited: Boolean = false,
 ) {
-    /** Whether this proxy can serve new callers. */
-    val ready: Boolean
+    /** Whether this proxy can serve: it is not stopping, and has read what it needs for that. */
+    val serving: Boolean
         get() = stoppingSince == null && configuration != null && serversKnown && fleet.registered
 
+    /** Whether new callers should come to this proxy; not while it knows that it cannot follow the configuration. */
+    val ready: Boolean get() = serving && configurationFault == null
+
     /** The registered server with this name; null if there is none. */
     fun server(name: ServerName): RegisteredServer? = servers[name]?.server
 }
@@ -65,6 +70,9 @@
 /** A session that arrived before the first configuration. */
 data class ArrivingSession(val number: SessionNumber, val database: DatabaseName, val since: MonotonicTime)
 
+/** The configuration cannot be followed: the answers of the store cannot be used. */
+data class ConfigurationFault(val reason: String, val since: MonotonicTime)
+
 /** A registered server. */
 data class KnownServer(
     val server: RegisteredServer,
