Close server connections that are silent for good

Callers saw statements refused as overloaded once connections that a server never answered had filled its pool; a silent STATUS also stopped the requests for the primary's position, so that reads with bounded staleness were refused.

Cause: only statements of sessions have a time limit. A connection that no session holds, with a ROLLBACK, a STATUS or the statement of an ended session outstanding, waited for its answer without one, and so did an accepted control command. Keep-alive probes are not sent while data are unacknowledged, and a server that still acknowledges is not found by them at all.

Such a connection is closed 5 s after its oldest unanswered statement was sent, whatever the statement was; the server rolls back.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/SessionReducer.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/SessionReducer.kt
@@ -6,6 +6,7 @@
 import dev.hibiscusreach.sessions.event.TimedSessionEvent
 import dev.hibiscusreach.sessions.event.TimerSubject
 import dev.hibiscusreach.sessions.part.ConfigurationFreshness
+import dev.hibiscusreach.sessions.part.ConnectionPools
 import dev.hibiscusreach.sessions.part.FleetEvents
 import dev.hibiscusreach.sessions.part.GroupMonitoring
 import dev.hibiscusreach.sessions.part.PeerMonitoring
@@ -74,6 +75,7 @@
                 StoreSources.review(reduction)
                 PeerMonitoring.review(reduction)
                 GroupMonitoring.review(reduction)
+                ConnectionPools.closeSilent(reduction)
             }
         }
 
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ConnectionPools.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ConnectionPools.kt
@@ -68,6 +68,24 @@
         }
     }
 
+    /** Closes the connections that no session holds and on which a statement is unanswered for too long. */
+    fun closeSilent(reduction: Reduction) {
+        for (connection in reduction.state.connections.values.filter { it.heldBy == null }) {
+            val oldest = connection.outstanding.firstOrNull()
+            val silence = reduction.now - (oldest?.sentAt ?: reduction.now)
+            if (oldest != null && silence > reduction.settings.connections.answerTimeout) {
+                reduction.log(
+                    "silent connection closed",
+                    "server" to connection.server,
+                    "connection" to connection.number.value,
+                    "unanswered" to oldest.purpose.name,
+                    "millis" to silence.value,
+                )
+                close(reduction, connection)
+            }
+        }
+    }
+
     /** Closes the connections to the servers of [group] that no session holds. */
     fun closeAll(reduction: Reduction, group: GroupName) =
         reduction.state.connections.values
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
@@ -68,6 +68,11 @@
      * hosts that lost power for seconds, so spare connections would use up the limit that restarted hosts need.
      */
     val idleTimeout: Millis = 1500.milliseconds,
+    /**
+     * A connection that no session holds is closed when a statement on it is unanswered for this long. The statements
+     * of sessions have the time limits of their routes.
+     */
+    val answerTimeout: Millis = 5.seconds,
     /** Pause after a server has refused a connection because of its connection limit. */
     val connectionLimitPause: Millis = 250.milliseconds,
     /** Pause after the first failed connection; doubles with each further failure up to [maxBackoff]. */
