Send a statement once its session is set up

A session whose values or prepared statement had to be restored on a server connection could have its statement run without them, or with those of another session, if the server failed RESET or SET. A write was then answered as of unknown outcome.

Cause: the setup and the statement were sent in one packet. The server runs the statement behind a failure, and closing the connection after the answer is too late.

The setup is sent alone, and the statement once all of it is answered. The server is checked again then, since a lease may have ended or the primary may have been replaced meanwhile. The first statement of a transaction is set up before BEGIN, whose answer it waits for anyway. A statement that is being set up has not run, so it is tried again or refused as not run. It costs a round trip where a connection has to be set up; that was not measured.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ConnectionCheckout.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ConnectionCheckout.kt
@@ -14,6 +14,7 @@
     /** The connection that a pending statement uses, or null if it has none. */
     fun connectionOf(pending: PendingStatement?): ConnectionNumber? =
         when (val phase = pending?.phase) {
+            is PendingStatement.Phase.SettingUp -> phase.connection
             is PendingStatement.Phase.Beginning -> phase.connection
             is PendingStatement.Phase.Sent -> phase.connection
             is PendingStatement.Phase.AwaitingRetry -> phase.connection
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ServerAnswers.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ServerAnswers.kt
@@ -45,10 +45,7 @@
         answer: ServerAnswer,
     ) {
         when (sent.purpose) {
-            Purpose.SETUP ->
-                if (answer.result is ServerAnswer.Result.Failed) {
-                    ServerConnectionEvents.closeBroken(reduction, connection)
-                }
+            Purpose.SETUP -> setupAnswered(reduction, connection, answer)
             Purpose.ROLLBACK ->
                 if (answer.status != TransactionStatus.NONE) ConnectionPools.close(reduction, connection)
             Purpose.PROBE -> Unit
@@ -73,6 +70,22 @@
         }
     }
 
+    // A failed setup counts as an attempt, because it is repeated without a pause.
+    private fun setupAnswered(reduction: Reduction, connection: ServerConnection, answer: ServerAnswer) {
+        val result = answer.result
+        if (result is ServerAnswer.Result.Failed) {
+            reduction.log("session setup failed", "server" to connection.server, "code" to result.code)
+            val session = connection.heldBy?.let { reduction.session(it) }
+            val pending = session?.pending
+            if (pending != null) {
+                reduction.put(session.copy(pending = pending.copy(attempts = pending.attempts + 1)))
+            }
+            ServerConnectionEvents.closeBroken(reduction, connection)
+        } else if (connection.outstanding.isEmpty()) {
+            StatementSending.sendAfterSetup(reduction, connection)
+        }
+    }
+
     private fun transactionBegun(reduction: Reduction, connection: ServerConnection, answer: ServerAnswer) {
         val session = connection.heldBy?.let { reduction.session(it) }
         val pending = session?.pending
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ServerConnectionEvents.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ServerConnectionEvents.kt
@@ -111,7 +111,7 @@
         pending: PendingStatement,
         connection: ServerConnection,
     ) {
-        val safeToRetry = pending.phase is Phase.Beginning || StatementFailures.isIdempotent(session, pending)
+        val safeToRetry = pending.isBeingSetUp || StatementFailures.isIdempotent(session, pending)
         when {
             !safeToRetry -> {
                 val message = "the server connection was lost before the write was answered"
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionDraining.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SessionDraining.kt
@@ -63,7 +63,7 @@
         val reason = LateArrivals.STOPPING
         for (session in reduction.state.active.mapNotNull { reduction.session(it) }) {
             val pending = session.pending
-            val hasNotRun = pending?.phase is Phase.Waiting || pending?.phase is Phase.Beginning
+            val hasNotRun = pending?.phase is Phase.Waiting || pending?.isBeingSetUp == true
             when {
                 pending == null -> Unit
                 hasNotRun -> StatementFailures.refuse(reduction, session, pending, ErrorKind.DRAINING, reason)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/StatementDeadlines.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/StatementDeadlines.kt
@@ -42,6 +42,7 @@
     private fun checkPending(reduction: Reduction, session: Session, pending: PendingStatement) {
         when (val phase = pending.phase) {
             is Phase.Waiting -> checkWaiting(reduction, session, pending)
+            is Phase.SettingUp -> checkSent(reduction, session, pending)
             is Phase.Beginning -> checkSent(reduction, session, pending)
             is Phase.Sent -> checkSent(reduction, session, pending)
             is Phase.Forwarded -> StatementForwarding.checkTimeout(reduction, session, pending, phase)
@@ -81,7 +82,8 @@
 
     // A server that was already silent when the statement was sent still gets the full silence timeout.
     private fun isSilent(reduction: Reduction, server: ServerName, pending: PendingStatement): Boolean {
-        val sentAt = (pending.phase as? Phase.Sent)?.sentAt ?: return false
+        val phase = pending.phase
+        val sentAt = (phase as? Phase.Sent)?.sentAt ?: (phase as? Phase.SettingUp)?.sentAt ?: return false
         return ServerHealthTracking.isSilent(reduction, server) &&
             reduction.now - sentAt > reduction.settings.statements.silenceTimeout
     }
@@ -100,8 +102,7 @@
         val holdsTransaction = session.running != null || session.remote != null
         val wrote = session.running?.wrote ?: session.remote?.wrote ?: false
         val writes = if (commits) wrote else !holdsTransaction && pending.access == Access.WRITE
-        val began = pending.phase !is Phase.Beginning
-        val kind = if (writes && began) ErrorKind.OUTCOME_UNKNOWN else ErrorKind.DEADLINE_EXCEEDED
+        val kind = if (writes && !pending.isBeingSetUp) ErrorKind.OUTCOME_UNKNOWN else ErrorKind.DEADLINE_EXCEEDED
         reduction.log("statement timed out", "request" to pending.identifier, "reason" to message)
         val inTransaction = session.transaction !is Transaction.None
         val ended = if (inTransaction && !commits) Transaction.Failed else Transaction.None
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/StatementDispatch.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/StatementDispatch.kt
@@ -114,7 +114,9 @@
         if (begun == null) {
             StatementSending.send(reduction, session, pending, connection, candidate.minimumPosition)
         } else {
-            val (prepared, setup) = SessionSetup.statements(connection, session, statement = null)
+            // The statement itself is sent after the answer to BEGIN, so that it can't run behind a failed setup.
+            val next = StatementSending.serverStatement(session, pending, minimumPosition = null)
+            val (prepared, setup) = SessionSetup.statements(connection, session, next)
             val begin = ServerStatement.Begin(begun.readOnly, candidate.minimumPosition)
             reduction.put(
                 session.copy(pending = pending.copy(phase = Phase.Beginning(connection.number, reduction.now))),
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/StatementSending.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/StatementSending.kt
@@ -36,7 +36,30 @@
         }
     }
 
-    /** Sends a statement on [connection], after the statements that set up the session on it. */
+    /** Sends the statement for which [connection] has been set up, unless its server may not run it any more. */
+    fun sendAfterSetup(reduction: Reduction, connection: ServerConnection) {
+        val session = connection.heldBy?.let { reduction.session(it) }
+        val pending = session?.pending
+        if (pending == null || pending.phase !is Phase.SettingUp) return
+        val running = session.running
+        if (running != null) return sendInTransaction(reduction, session, pending, running)
+        val candidate =
+            ServerSelection
+                .candidates(reduction, session, pending)
+                .find { it.server.name == connection.server }
+                .takeUnless { StatementForwarding.isNeeded(reduction, session, pending) }
+        if (candidate == null) {
+            ConnectionCheckout.release(reduction, connection.number)
+            StatementDispatch.requeue(reduction, session, pending)
+        } else {
+            send(reduction, session, pending, connection, candidate.minimumPosition)
+        }
+    }
+
+    /**
+     * Sends a statement on [connection]. If the session has to be set up on it first, that is sent alone: the server
+     * would run the statement also behind a failure.
+     */
     fun send(
         reduction: Reduction,
         session: Session,
@@ -46,6 +69,12 @@
     ) {
         val toSend = serverStatement(session, pending, minimumPosition)
         val (prepared, setup) = SessionSetup.statements(connection, session, toSend)
+        if (setup.isNotEmpty()) {
+            val settingUp = Phase.SettingUp(connection.number, reduction.now)
+            reduction.put(session.copy(pending = pending.copy(phase = settingUp)))
+            ConnectionCheckout.send(reduction, prepared, setup.map { Purpose.SETUP to it })
+            return
+        }
         val record = reduction.group(connection.group).record
         val sent =
             pending.copy(
@@ -53,10 +82,11 @@
                 attempts = pending.attempts + 1,
             )
         reduction.put(session.copy(pending = sent))
-        ConnectionCheckout.send(reduction, prepared, setup.map { Purpose.SETUP to it } + (Purpose.CALLER to toSend))
+        ConnectionCheckout.send(reduction, connection, listOf(Purpose.CALLER to toSend))
     }
 
-    private fun serverStatement(
+    /** What a server gets for a pending statement. */
+    fun serverStatement(
         session: Session,
         pending: PendingStatement,
         minimumPosition: Position?,
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/Session.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/Session.kt
@@ -104,6 +104,9 @@
     /** Whether the statement commits its transaction. */
     val commits: Boolean get() = statement is CallerStatement.Commit
 
+    /** Whether a connection is being prepared for the statement, which has not been sent. */
+    val isBeingSetUp: Boolean get() = phase is Phase.SettingUp || phase is Phase.Beginning
+
     /** State of the transaction after the statement has failed. */
     val transactionAfterFailure: Transaction get() = if (commits) Transaction.None else Transaction.Failed
 
@@ -112,6 +115,9 @@
         /** Waits for a connection, not before [notBefore]. */
         data class Waiting(val notBefore: MonotonicTime? = null) : Phase
 
+        /** The session is being set up on the connection; the statement is sent once all of that is answered. */
+        data class SettingUp(val connection: ConnectionNumber, val sentAt: MonotonicTime) : Phase
+
         /** The transaction is being opened at a server. */
         data class Beginning(val connection: ConnectionNumber, val sentAt: MonotonicTime) : Phase
 
