--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/CallerStatement.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/CallerStatement.kt
@@ -29,6 +29,9 @@
     /** Runs the statement prepared as [name]. */
     data class Execute(val name: String, val arguments: String) : CallerStatement
 
+    /** A statement whose text was not kept, for the [reason] that is told to the caller. It may be tried again. */
+    data class Dropped(val reason: String) : CallerStatement
+
     /** Text that is no valid statement; [reason] is told to the caller. */
     data class Unknown(val reason: String) : CallerStatement
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/StatementArrivals.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/StatementArrivals.kt
@@ -81,6 +81,7 @@
                 val prepared = session.prepared.remove(statement.name)
                 answerLocally(reduction, session.copy(prepared = prepared), event, completed(status))
             }
+            is CallerStatement.Dropped -> DroppedStatements.refuse(reduction, session, event.identifier, statement)
             is CallerStatement.Unknown ->
                 answerLocally(reduction, session, event, refused(ErrorKind.MALFORMED_REQUEST, statement.reason, status))
             CallerStatement.Commit ->
