--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/simulation/RandomFaultsTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/simulation/RandomFaultsTest.kt
@@ -15,8 +15,9 @@
 
 /** Guards against two primaries in use at once, and groups without one, when faults overlap changes of primary. */
 class RandomFaultsTest {
-    // False lets a replaced primary that can't reach its successor go on until it is told to step down.
-    private val primariesFollow = System.getProperty("faults.primariesFollow") != "false"
+    // A replaced primary that doesn't follow can't reach its successor, and goes on until it is told to step down.
+    private val modes: List<Boolean> =
+        System.getProperty("faults.primariesFollow")?.let { listOf(it.toBoolean()) } ?: listOf(true, false)
 
     private class TimedFault(val number: Int, val begin: Long, val end: Long, val fault: Fault)
 
@@ -28,7 +29,7 @@
     private val kept: List<Int>? = System.getProperty("faults.kept")?.split(",")?.map { it.toInt() }
     private val log: (String) -> Unit = { if (replayed != null) println(it) }
 
-    private fun simulation(random: RandomGenerator): RestorationSimulation {
+    private fun simulation(random: RandomGenerator, primariesFollow: Boolean): RestorationSimulation {
         val regions = domains.associateWith { RegionName(it.value) }
         val locations =
             nodes.mapIndexed { index, node ->
@@ -120,11 +121,11 @@
 
     @TestFactory
     fun `overlapping faults leave one primary in use, and the group is served again`(): List<DynamicTest> =
-        seeds().map { seed ->
-            DynamicTest.dynamicTest("seed $seed") {
+        modes.flatMap { follow -> seeds().map { it to follow } }.map { (seed, primariesFollow) ->
+            DynamicTest.dynamicTest("seed $seed, replaced primaries follow: $primariesFollow") {
                 val random = RandomGeneratorFactory.of<RandomGenerator>("L64X128MixRandom").create(seed)
                 val faults = faults(random).filter { kept == null || it.number in kept }
-                val simulation = simulation(random)
+                val simulation = simulation(random, primariesFollow)
                 simulation.advance(START_MILLIS)
                 expectThat(simulation.acknowledged).isNotEmpty()
                 inject(simulation, faults)
