--- /dev/null
+++ b/review/standins-2/DepartedReplica.java
@@ -0,0 +1,71 @@
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Commits wait for one of two replicas. The one that has the latest commit is lost for good while the other one receives
+ * nothing, and the primary goes dark meanwhile. One proxy is stopped and started after the loss, as planned. Without
+ * trouble it is not.
+ */
+final class DepartedReplica {
+    private DepartedReplica() {}
+
+    public static void main(String[] arguments) {
+        Case.main(arguments, DepartedReplica::run);
+    }
+
+    private static boolean run(World world) throws Exception {
+        List<String> nodes = List.of("front-a", "front-b", "front-c");
+        String name = World.groupName("ledger", nodes);
+        Database database = world.database(name, 1, 3);
+        world.route("signoffs", name, "primary", 0, 1000);
+        world.configure();
+        world.proxy("front-a", World.NORTH, world.store.port(), world.platform.port());
+        world.proxy("front-b", World.SOUTH, world.store.port(), world.platform.port());
+        world.proxy("front-c", World.WEST, world.store.port(), world.platform.port());
+        world.start();
+        world.read("signoffs");
+        Threads.sleep(12_000);
+        Database.Server primary = database.server(name + "-p");
+        Database.Server reached = database.server(name + "-r");
+        Database.Server deaf = database.server(name + "-q");
+
+        List<String> acknowledged = new ArrayList<>();
+        try (Consumer consumer = new Consumer("consumer", world.proxies.get(2).callerPort, "signoffs", 5_000, world.record)) {
+            SignOffs.write(consumer, acknowledged);
+            Threads.sleep(300);
+            deaf.deaf = true;
+            world.record.line("%s receives nothing", deaf.id);
+            SignOffs.write(consumer, acknowledged);
+        }
+        long start = System.nanoTime();
+        reached.crash();
+        if (world.trouble) {
+            Proxy proxy = world.proxies.get(0);
+            Threads.start(() -> restart(world, proxy, 1_000));
+        }
+        until(start, 3_600);
+        world.store.remove("servers", reached.id);
+        until(start, 5_900);
+        primary.darken(7_000);
+        until(start, 6_400);
+        deaf.deaf = false;
+        world.record.line("%s receives again", deaf.id);
+        Threads.sleep(15_000);
+        return SignOffs.areMissing(world, database, acknowledged);
+    }
+
+    private static void restart(World world, Proxy proxy, long delay) {
+        try {
+            Threads.sleep(delay);
+            proxy.signal("TERM");
+            if (!proxy.awaitEnd(6_000)) proxy.signal("KILL");
+            proxy.start();
+        } catch (Exception failed) {
+            world.record.line("%s could not be restarted: %s", proxy.node, failed);
+        }
+    }
+
+    private static void until(long start, long millis) {
+        Threads.sleep(millis - (System.nanoTime() - start) / 1_000_000);
+    }
+}
