Let the late promotion of case 6 replace a later primary

Cause: the fence number of a late request was only compared with that of a request for another service. Done: the servers of one service are replaced one after the other while the machine that began is cut off from the promotions and stopped. Its request arrives last and makes a replaced server the primary again.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,8 +3,8 @@
 set -uo pipefail
 folder=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
 cd "$folder/../.." || exit 2
-if [[ ! -f target/hibiscusreach.jar || ! -f target/review-2/DepartedReplica.class ]]; then
+if [[ ! -f target/hibiscusreach.jar || ! -f target/review-2/LatePromotion.class ]]; then
   echo "run the build of the deploy file and review/build-2.sh first" >&2
   exit 2
 fi
-exec java -Xmx256m -cp target/review-2 DepartedReplica "$folder/record.txt"
+exec java -Xmx256m -cp target/review-2 LatePromotion "$folder/record.txt"
--- a/review/standins-2/Database.java
+++ b/review/standins-2/Database.java
@@ -32,6 +32,8 @@
     final long workMillis;
     final List<Server> servers = new ArrayList<>();
     final List<Promotion> promotions = new ArrayList<>();
+    /** Statements that a server committed after another one had been promoted over it. */
+    final List<String> committedLate = new ArrayList<>();
     private final Store store;
     private final Record record;
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(4, Threads::daemon);
@@ -51,6 +53,11 @@
         return server;
     }
 
+    /** The statements in the log of the server that leads. */
+    synchronized List<String> leaderLog() {
+        return primary().log.stream().map(Entry::statement).toList();
+    }
+
     /** Statements that were acknowledged but are not in the log of a server that was promoted. */
     synchronized List<String> missing(List<String> acknowledged) {
         List<String> missing = new ArrayList<>();
@@ -296,7 +303,9 @@
             long number = log.isEmpty() ? 1 : log.get(log.size() - 1).number + 1;
             Entry entry = new Entry(term, number, Map.copyOf(writes), statement);
             log.add(entry);
-            record.line("%s commits %d.%d %s %s", id, term, number, statement, writes.keySet());
+            Server newest = primary();
+            if (newest != this) committedLate.add(statement);
+            record.line("%s commits %d.%d %s %s%s", id, term, number, statement, writes.keySet(), newest == this ? "" : ", replaced by " + newest.id);
             for (Server other : servers) if (other != this) replicate(this, other, other.replicationMillis);
             while (runs && received(entry) < synchronousReplicas) {
                 try {
--- a/review/standins-2/Releases.java
+++ b/review/standins-2/Releases.java
@@ -12,6 +12,12 @@
         world.record.line("%s drains", primary.id);
     }
 
+    /** Lets the primary drain and waits until another server leads in its place. */
+    static void replace(World world, Database database, long limitMillis) throws Exception {
+        drain(world, database);
+        if (!Threads.await(limitMillis, () -> isReplaced(world, database))) throw new Unable("the primary was not replaced");
+    }
+
     /** Whether the store's record names the primary that leads in place of one that drains. */
     static boolean isReplaced(World world, Database database) {
         var spec = world.store.spec("hibiscusreach-fleet", "group." + database.name);
