--- a/review/standins-2/DepartedReplica.java
+++ b/review/standins-2/DepartedReplica.java
@@ -41,11 +41,11 @@
         reached.crash();
         if (world.trouble) {
             Proxy proxy = world.proxies.get(0);
-            Threads.start(() -> restart(world, proxy, 1_000));
+            Threads.start(() -> restart(world, proxy, start));
         }
         until(start, 3_600);
         world.store.remove("servers", reached.id);
-        until(start, 5_900);
+        until(start, 6_200);
         primary.darken(7_000);
         until(start, 6_400);
         deaf.deaf = false;
@@ -54,11 +54,13 @@
         return SignOffs.areMissing(world, database, acknowledged);
     }
 
-    private static void restart(World world, Proxy proxy, long delay) {
+    private static void restart(World world, Proxy proxy, long start) {
         try {
-            Threads.sleep(delay);
+            until(start, 200);
             proxy.signal("TERM");
             if (!proxy.awaitEnd(6_000)) proxy.signal("KILL");
+            // The entry of the lost replica is gone when the process starts again.
+            until(start, 4_000);
             proxy.start();
         } catch (Exception failed) {
             world.record.line("%s could not be restarted: %s", proxy.node, failed);
