--- a/review/standins-2/DepartedReplica.java
+++ b/review/standins-2/DepartedReplica.java
@@ -1,5 +1,7 @@
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 
 /**
  * Commits wait for one of two replicas. The one that has the latest commit is lost for good while the other one receives
@@ -30,21 +32,21 @@
         Database.Server deaf = database.server(name + "-q");
 
         List<String> acknowledged = new ArrayList<>();
+        CountDownLatch removed = new CountDownLatch(1);
+        long start;
         try (Consumer consumer = new Consumer("consumer", world.proxies.get(2).callerPort, "signoffs", 5_000, world.record)) {
             SignOffs.write(consumer, acknowledged);
-            Threads.sleep(300);
+            if (world.trouble) Threads.start(() -> restart(world, world.proxies.get(0), removed));
+            Threads.sleep(1_300);
+            start = System.nanoTime();
             deaf.deaf = true;
             world.record.line("%s receives nothing", deaf.id);
             SignOffs.write(consumer, acknowledged);
         }
-        long start = System.nanoTime();
         reached.crash();
-        if (world.trouble) {
-            Proxy proxy = world.proxies.get(0);
-            Threads.start(() -> restart(world, proxy, start));
-        }
-        until(start, 3_600);
+        until(start, 3_700);
         world.store.remove("servers", reached.id);
+        removed.countDown();
         until(start, 6_200);
         primary.darken(7_000);
         until(start, 6_400);
@@ -54,15 +56,14 @@
         return SignOffs.areMissing(world, database, acknowledged);
     }
 
-    private static void restart(World world, Proxy proxy, long start) {
+    // The process starts again after the entry of the lost replica has gone.
+    private static void restart(World world, Proxy proxy, CountDownLatch removed) {
         try {
-            until(start, 200);
-            proxy.signal("TERM");
-            if (!proxy.awaitEnd(6_000)) proxy.signal("KILL");
-            // The entry of the lost replica is gone when the process starts again.
-            until(start, 4_000);
+            proxy.stop();
+            if (!proxy.awaitEnd(6_000)) proxy.kill();
+            removed.await();
             proxy.start();
-        } catch (Exception failed) {
+        } catch (IOException | InterruptedException failed) {
             world.record.line("%s could not be restarted: %s", proxy.node, failed);
         }
     }
--- a/review/standins-2/LatePromotion.java
+++ b/review/standins-2/LatePromotion.java
@@ -44,7 +44,7 @@
         Threads.sleep(200);
         Releases.drain(world, database);
         Threads.sleep(600);
-        first.signal("TERM");
+        first.stop();
         Threads.start(() -> startAgain(world, first));
         if (!Threads.await(10_000, () -> Releases.isReplaced(world, database))) throw new Unable("the second primary was not replaced");
         Releases.replace(world, database, 10_000);
@@ -82,7 +82,7 @@
 
     private static void startAgain(World world, Proxy proxy) {
         try {
-            if (!proxy.awaitEnd(6_000)) proxy.signal("KILL");
+            if (!proxy.awaitEnd(6_000)) proxy.kill();
             Threads.sleep(1_000);
             proxy.start();
         } catch (IOException | InterruptedException failed) {
--- a/review/standins-2/Proxy.java
+++ b/review/standins-2/Proxy.java
@@ -71,24 +71,22 @@
         }
     }
 
-    /** Sends a signal to the process, as the platform does. */
-    void signal(String signal) throws IOException, InterruptedException {
-        record.line("%s gets %s", node, signal);
-        new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+    /** Asks the process to stop with SIGTERM, as the platform does before a planned stop. */
+    void stop() {
+        record.line("%s gets SIGTERM", node);
+        process.destroy();
     }
 
-    boolean runs() {
-        return process != null && process.isAlive();
+    /** Ends the process with SIGKILL. */
+    void kill() {
+        record.line("%s gets SIGKILL", node);
+        process.destroyForcibly();
     }
 
     boolean awaitEnd(long millis) throws InterruptedException {
         return process.waitFor(millis, TimeUnit.MILLISECONDS);
     }
 
-    int exitCode() {
-        return process.exitValue();
-    }
-
     void end() {
         if (process != null) process.destroyForcibly();
     }
