Drop a promotion request that is held up when it is given up

Callers lost acknowledged writes: a proxy was cut off from the promotions, gave its request up after 2 s and closed the connection. The kernel went on to hold the request, also after the process had ended, and delivered it when the cut was over, seconds and two changes of primary later. It made a replaced server the primary again, and the proxies went on to commit at the recorded one for about a second.

Cause: the connection of a call without an answer was closed in the orderly way, which limits the wait for the answer, not the request. The release and the takeover of the promoter lock and the end of a change count on the limit.

A call now says whether its request may arrive late. While a promotion is on its way, closing its connection resets it, also when the process ends or is killed, and bytes that were held up are dropped. No change of primary waits for anything new.

A request that was given up is logged as "promotion without an answer". The soak of changes of primary cuts hosts off from the promotions, and its relay tells a reset connection from a closed one.

--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpCall.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpCall.kt
@@ -19,6 +19,12 @@
     val timeout: Millis,
     /** Whether the request may safely be sent again if its connection breaks. */
     val repeatable: Boolean = true,
+    /**
+     * Whether the request may reach the endpoint after the call has ended without an answer. If not, its connection is
+     * reset, also by the end of the process, so that bytes which a partition holds up are dropped. A request that has
+     * arrived before is not withdrawn.
+     */
+    val mayArriveLate: Boolean = true,
 )
 
 /** Makes HTTP calls. */
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpClient.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpClient.kt
@@ -97,7 +97,7 @@
             exchange.reused = reused
             connection.idleTimeout?.cancel(false)
             busy[connection] = exchange
-            connection.send(exchange.call.message)
+            connection.send(exchange.call.message, resetsOnClose = !exchange.call.mayArriveLate)
         }
 
         private fun keepIdle(connection: HttpConnection) {
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpConnection.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpConnection.kt
@@ -7,6 +7,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.http.DefaultFullHttpRequest
@@ -59,8 +60,12 @@
         connecting.addListener { connectEnded(connecting) }
     }
 
-    /** Sends [message]; the connection is closed if the write fails. */
-    fun send(message: HttpMessage) {
+    /**
+     * Sends [message]; the connection is closed if the write fails. If [resetsOnClose], closing the connection resets
+     * it, which drops the bytes that have not been delivered.
+     */
+    fun send(message: HttpMessage, resetsOnClose: Boolean = false) {
+        channel.config().setOption(ChannelOption.SO_LINGER, if (resetsOnClose) 0 else LINGER_DISABLED)
         val content = Unpooled.wrappedBuffer(message.body.encodeToByteArray())
         val method = HttpMethod.valueOf(message.method)
         val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, message.path, content)
@@ -118,6 +123,9 @@
     }
 
     private companion object {
+        /** The kernel goes on to deliver what was sent before the connection was closed. */
+        const val LINGER_DISABLED = -1
+
         val log = LoggerFactory.getLogger(HttpConnection::class.java)
     }
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PromoterLocking.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PromoterLocking.kt
@@ -1,5 +1,6 @@
 package dev.hibiscusreach.sessions.part
 
+import dev.hibiscusreach.core.event.LogLevel
 import dev.hibiscusreach.sessions.event.PromotionOutcome
 import dev.hibiscusreach.sessions.event.SessionEffect
 import dev.hibiscusreach.sessions.event.SessionEvent
@@ -64,13 +65,7 @@
     fun handlePromotionOutcome(reduction: Reduction, event: SessionEvent.PromotionAnswered) {
         val group = reduction.group(event.group)
         val change = group.change ?: return
-        reduction.log(
-            "promotion answered",
-            "group" to event.group,
-            "successor" to event.server,
-            "outcome" to event.outcome.name,
-            "fencingToken" to change.promoterLock?.token,
-        )
+        logOutcome(reduction, event, change)
         if (change.phase != ChangePhase.PROMOTING || change.successor != event.server) return
         releaseLock(reduction)
         when (event.outcome) {
@@ -93,6 +88,20 @@
         }
     }
 
+    private fun logOutcome(reduction: Reduction, event: SessionEvent.PromotionAnswered, change: PrimaryChange) {
+        val isUnknown = event.outcome == PromotionOutcome.UNKNOWN
+        reduction.log(
+            if (isUnknown) "promotion without an answer" else "promotion answered",
+            "group" to event.group,
+            "successor" to event.server,
+            "outcome" to event.outcome.name,
+            "fencingToken" to change.promoterLock?.token,
+            "epoch" to reduction.group(event.group).record?.epoch,
+            "millis" to (reduction.now - change.phaseSince),
+            level = if (isUnknown) LogLevel.WARN else LogLevel.INFO,
+        )
+    }
+
     // The lock is used only while no other proxy can have taken it over.
     private fun requestPromotion(reduction: Reduction, group: GroupView, change: PrimaryChange, lock: PromoterLock) {
         val successor = change.successor ?: return
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/primaries/PrimaryDisruptions.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/primaries/PrimaryDisruptions.kt
@@ -11,7 +11,10 @@
 import kotlin.concurrent.thread
 import kotlin.random.Random
 
-/** Replaces and crashes primaries in series while hosts are cut off, paused, killed and restarted. */
+/**
+ * Replaces and crashes primaries in series while hosts are cut off from each other, the store and the promotions, paused,
+ * killed and restarted.
+ */
 internal class PrimaryDisruptions(
     private val fleet: ProxyFleet,
     private val servers: LineServerGroup,
@@ -24,6 +27,7 @@
     private val running = ConcurrentLinkedQueue<Thread>()
     private val starts = ConcurrentHashMap<String, Int>()
     private val leaving = ConcurrentHashMap.newKeySet<String>()
+    private val cutFromPromotions = ConcurrentHashMap.newKeySet<String>()
     private val events = AtomicInteger()
 
     /** Number of disturbances of hosts and primaries. */
@@ -39,6 +43,7 @@
                 repeating(end, BETWEEN_CHANGES_OF_PRIMARY_MILLIS, ::replacePrimary),
                 repeating(end, BETWEEN_HOST_EVENTS_MILLIS, ::disturbHost),
                 repeating(end, BETWEEN_CONFIGURATIONS_MILLIS) { configure(it) },
+                repeating(end, BETWEEN_PROMOTION_CUTS_MILLIS, ::cutPromotions),
             )
         series.forEach(Thread::join)
         running.forEach(Thread::join)
@@ -152,6 +157,22 @@
         paths.heal(node)
     }
 
+    // The hosts may be disturbed otherwise as well, so that processes end while their requests are held up.
+    private fun cutPromotions(random: Random) {
+        val nodes = fleet.nodes.filter { it !in cutFromPromotions && random.nextInt(DISTURBED_DIVISOR) == 0 }
+        events.incrementAndGet()
+        nodes.forEach { node ->
+            val own = Random(random.nextLong())
+            cutFromPromotions += node
+            running += checked {
+                fleet.pathToPromotions(node).hold()
+                pause(CUT_MILLIS, own)
+                fleet.pathToPromotions(node).release()
+                cutFromPromotions -= node
+            }
+        }
+    }
+
     private fun restart(node: String) {
         fleet.start(node)
         val limit = System.nanoTime() + TimeUnit.SECONDS.toNanos(START_SECONDS)
@@ -182,6 +203,7 @@
         val CUT_MILLIS = 2_000L..6_000L
         val BETWEEN_CHANGES_OF_PRIMARY_MILLIS = 1_000L..4_000L
         val BETWEEN_HOST_EVENTS_MILLIS = 1_500L..5_000L
+        val BETWEEN_PROMOTION_CUTS_MILLIS = 2_000L..6_000L
         val BETWEEN_CONFIGURATIONS_MILLIS = 500L..4_000L
     }
 }
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/processes/LoopbackRelay.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/processes/LoopbackRelay.kt
@@ -4,10 +4,15 @@
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.BlockingQueue
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.LinkedBlockingQueue
 import kotlin.concurrent.thread
 
-/** Forwards loopback connections to the port [target], and holds back or loses what they carry when told to. */
+/**
+ * Forwards loopback connections to the port [target], and holds back or loses what they carry when told to. Bytes that are
+ * held back are delivered later, also if their sender has closed the connection meanwhile, but not if it has reset it.
+ */
 internal class LoopbackRelay(private val target: Int) : AutoCloseable {
     private class Link(val near: Socket, val far: Socket) {
         @Volatile
@@ -70,17 +75,33 @@
     }
 
     private fun pump(link: Link, from: Socket, to: Socket) {
+        val received = LinkedBlockingQueue<ByteArray>()
+        thread(isDaemon = true) { deliver(link, received, from, to) }
         try {
             val buffer = ByteArray(BUFFER_BYTES)
             val input = from.getInputStream()
-            generateSequence { input.read(buffer) }.takeWhile { it >= 0 }.forEach { count ->
+            generateSequence { input.read(buffer) }.takeWhile { it >= 0 }.forEach { received += buffer.copyOf(it) }
+        } catch (_: IOException) {
+            // The sender has reset the connection, or the relay has ended it.
+            endUnlessLost(link, from)
+        }
+        received += END
+    }
+
+    private fun deliver(link: Link, received: BlockingQueue<ByteArray>, from: Socket, to: Socket) {
+        try {
+            generateSequence(received::take).takeWhile { it !== END }.forEach { bytes ->
                 while (held && !link.lost) Thread.sleep(POLL_MILLIS)
-                if (!link.lost) to.getOutputStream().write(buffer, 0, count)
+                if (!link.lost) to.getOutputStream().write(bytes)
             }
         } catch (_: IOException) {
-            // One end has closed the connection.
+            // The receiver has closed the connection, or the relay has ended it.
         }
-        // The far end of a lost connection must not learn that the near end has closed it.
+        endUnlessLost(link, from)
+    }
+
+    // The far end of a lost connection must not learn that the near end has closed it.
+    private fun endUnlessLost(link: Link, from: Socket) {
         if (!link.lost || from === link.near) end(link)
     }
 
@@ -99,5 +120,6 @@
         const val BACKLOG = 200
         const val BUFFER_BYTES = 16 * 1024
         const val POLL_MILLIS = 5L
+        val END = ByteArray(0)
     }
 }
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/ProxyFleet.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/stops/ProxyFleet.kt
@@ -17,7 +17,7 @@
 
 /**
  * Proxies of the users' platform, each a process of its own, on a store that stands in. They are dealt out to [domains]
- * failure domains. Each reaches the store through a relay of its own.
+ * failure domains. Each reaches the store and the promotions through relays of its own.
  */
 internal class ProxyFleet(
     private val folder: Path,
@@ -25,7 +25,7 @@
     classPath: String?,
     private val domains: Int = 1,
     /** Where promotions are requested; null if no server is promoted. */
-    private val promotions: Endpoint? = null,
+    promotions: Endpoint? = null,
     /** Whether the proxies reach each other through relays, so that they can be cut off from each other. */
     relaysPeers: Boolean = false,
 ) : AutoCloseable {
@@ -40,6 +40,7 @@
             .mapIndexed { index, ports -> Proxy("front-${index + 1}", ports, domainOf(index)) }
             .associateBy { it.node }
     private val relays = proxies.mapValues { LoopbackRelay(store.endpoint.port) }
+    private val promotionRelays = proxies.mapValues { LoopbackRelay((promotions ?: store.endpoint).port) }
     private val running = ConcurrentHashMap<String, Process>()
 
     /** The paths between the proxies; null if they reach each other directly. */
@@ -78,6 +79,9 @@
     /** The path between [node] and the store. */
     fun pathToStore(node: String): LoopbackRelay = relays.getValue(node)
 
+    /** The path between [node] and the promotions. */
+    fun pathToPromotions(node: String): LoopbackRelay = promotionRelays.getValue(node)
+
     /** Whether the proxy answers its readiness check. */
     fun isReady(node: String): Boolean {
         val address = URI("http://127.0.0.1:${proxies.getValue(node).ports[1]}/ready").toURL()
@@ -93,7 +97,7 @@
 
     override fun close() {
         processes.close()
-        relays.values.forEach(LoopbackRelay::close)
+        (relays.values + promotionRelays.values).forEach(LoopbackRelay::close)
         peerPaths?.close()
         store.close()
     }
@@ -107,7 +111,7 @@
             "operationsAddress":"$operations","peerAddress":"$peer",
             "advertisedPeerAddress":"$advertised",
             "storeAddress":"127.0.0.1:${pathToStore(proxy.node).port}",
-            "promotionAddress":"${promotions ?: store.endpoint}","descriptorLimit":4300}
+            "promotionAddress":"127.0.0.1:${pathToPromotions(proxy.node).port}","descriptorLimit":4300}
         """.trimIndent()
     }
 
