Keep in the group's record what a successor must have

Callers lost an acknowledged write where commits wait for one replica. The replica that had received it was lost for good, a proxy was restarted, and promoted a server without the write while the primary was dark.

Cause: the removed replicas, and the position that covers their commits, were known in memory, and got into the record with the intent of a change only. A process that starts after a removal knew neither.

The record now names the requirements at all times. One home writes them, conditionally, when a replica comes and when a later position of the primary covers a removed one. A change of primary waits for nothing new, and groups whose commits wait for no replica have no further write.

The confirmation of a write names the record that was written, so that a requirement is not taken for the intent of a change.

PrimaryChangeTest expected a record without requirements when a primary is kept under another name; it expects them now, since the log stays the same.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEvent.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEvent.kt
@@ -12,6 +12,7 @@
 import dev.hibiscusreach.sessions.allowance.AllowanceRequestNumber
 import dev.hibiscusreach.sessions.model.CallerStatement
 import dev.hibiscusreach.sessions.model.FleetKey
+import dev.hibiscusreach.sessions.model.FleetRecord
 import dev.hibiscusreach.sessions.model.ForwardedAnswer
 import dev.hibiscusreach.sessions.model.ForwardedStatement
 import dev.hibiscusreach.sessions.model.GroupName
@@ -135,8 +136,9 @@
     /** The fleet's records could not be read. */
     data class FleetReadFailed(val reason: String) : SessionEvent
 
-    /** A write of a fleet record has ended. */
-    data class FleetWritten(val key: FleetKey, val outcome: WriteOutcome) : SessionEvent
+    /** A write of [record], or a deletion if it is null, has ended. */
+    data class FleetWritten(val key: FleetKey, val outcome: WriteOutcome, val record: FleetRecord? = null) :
+        SessionEvent
 
     /** A peer sent a request, which needs an answer. */
     data class PeerAsked(val number: PeerRequestNumber, val request: PeerRequest) : SessionEvent
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/FleetRecords.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/FleetRecords.kt
@@ -26,11 +26,11 @@
         /** The proxy that is replacing the primary; null while no change is in progress. */
         val changedBy: ProxyIdentity? = null,
         /**
-         * The replicas at the start of the change; empty if commits do not wait for replicas. Each of them may hold
-         * acknowledged commits that the others lack, even if it has been removed since.
+         * The replicas that may hold acknowledged commits which the others lack, even if they have been removed since;
+         * empty if commits do not wait for replicas.
          */
         val replicas: Set<ServerName> = emptySet(),
-        /** Minimum position of the successor's log, because of replicas that were removed before the change. */
+        /** Minimum position of a successor's log; covers the commits of replicas that were removed from [replicas]. */
         val floor: Position? = null,
         /** Number of the store's era in which the record was written. */
         val era: Long = 0,
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangePublication.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangePublication.kt
@@ -16,7 +16,8 @@
     /** Records [primary] as the group's primary in [term]. If it is another server, the old primary steps down. */
     fun publish(reduction: Reduction, group: GroupView, change: PrimaryChange, primary: ServerName, term: Term) {
         val record = group.record ?: return
-        val published = FleetRecord.Group(record.group, record.epoch, term, primary, era = StoreEras.current(reduction))
+        val stable = FleetRecord.Group(record.group, record.epoch, term, primary, era = StoreEras.current(reduction))
+        val published = CommitRequirements.addToPublished(reduction, group, known = record, published = stable)
         if (record.primary != primary) StepDownRequests.request(reduction, group.name, record.primary, term)
         if (SuccessorChoice.pausesReplicas(reduction, group, change)) resumeReplicas(reduction, group, primary)
         val next =
--- /dev/null
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/CommitRequirements.kt
@@ -0,0 +1,101 @@
+package dev.hibiscusreach.sessions.part
+
+import dev.hibiscusreach.sessions.event.SessionEffect
+import dev.hibiscusreach.sessions.model.FleetKey
+import dev.hibiscusreach.sessions.model.FleetRecord
+import dev.hibiscusreach.sessions.model.Revision
+import dev.hibiscusreach.sessions.state.GroupView
+
+/**
+ * Keeps in the group's record what a successor of its primary must have, where commits wait for replicas: the replicas
+ * that may be the only ones with an acknowledged commit, and the position that covers the removed ones. The record is
+ * the only source of that for a process which starts after a replica was removed.
+ */
+internal object CommitRequirements {
+    /** Adds to [record] the replicas that must report and the log position that the successor must reach. */
+    fun addTo(reduction: Reduction, group: GroupView, record: FleetRecord.Group): FleetRecord.Group {
+        if (!SuccessorChoice.isReplicationSynchronous(reduction, group)) return record
+        val present =
+            reduction.servers(group.name).map { it.name }.filter { reduction.state.servers[it]?.missingSince == null }
+        val replicas = record.replicas - group.covered + present + group.departed.keys - record.primary
+        val floor = listOfNotNull(record.floor, group.departedFloor).maxOrNull()
+        return record.copy(replicas = replicas, floor = floor)
+    }
+
+    /** Adds the requirements to the record that ends a change of primary. They last as long as the primary's term. */
+    fun addToPublished(
+        reduction: Reduction,
+        group: GroupView,
+        known: FleetRecord.Group,
+        published: FleetRecord.Group,
+    ): FleetRecord.Group =
+        if (published.term == known.term) {
+            addTo(reduction, group, published.copy(replicas = known.replicas, floor = known.floor))
+        } else {
+            addTo(reduction, withoutDepartures(group), published)
+        }
+
+    /** Writes the requirements to the record of [group] if they differ and no change of primary is in progress. */
+    fun review(reduction: Reduction, known: GroupView) {
+        val group = DepartedReplicas.markUnknown(reduction, known)
+        val record = group.record ?: return
+        val rank = ProxyRanking.ownRank(reduction, group.name)
+        val required = addTo(reduction, group, record)
+        val delay = reduction.settings.changes.rankDelay * (rank ?: 0)
+        val due = group.requirementsDue ?: (reduction.now + delay)
+        when {
+            required == record -> if (group.requirementsDue != null) reduction.put(group.copy(requirementsDue = null))
+            rank == null || !mayWrite(reduction, group) -> Unit
+            reduction.now >= due -> write(reduction, group, required)
+            else -> reduction.put(group.copy(requirementsDue = due))
+        }
+    }
+
+    private fun mayWrite(reduction: Reduction, group: GroupView): Boolean =
+        group.verified && !PrimaryStatus.isChanging(group) && GroupRecordRepair.isRecorded(reduction, group) &&
+            !reduction.state.fleet.storeLost
+
+    private fun write(reduction: Reduction, group: GroupView, required: FleetRecord.Group) {
+        reduction.log(
+            "commit requirements written",
+            "group" to group.name,
+            "replicas" to required.replicas,
+            "departed" to group.departed.keys,
+            "floor" to required.floor,
+            "revision" to group.revision,
+        )
+        reduction.put(group.copy(requirementsDue = reduction.now + reduction.settings.changes.retryPause))
+        reduction.emit(SessionEffect.WriteFleet(FleetKey.group(group.name), required, group.revision))
+    }
+
+    /** Whether [record] differs from the known record of a stable group in its requirements only, and is later. */
+    fun isUpdate(group: GroupView, record: FleetRecord.Group, revision: Revision): Boolean {
+        val known = group.record?.takeIf { it.changedBy == null } ?: return false
+        val hasOtherRequirements = known.replicas != record.replicas || known.floor != record.floor
+        val isSameOtherwise = known.copy(replicas = record.replicas, floor = record.floor) == record
+        return hasOtherRequirements && isSameOtherwise && revision > group.revision
+    }
+
+    /** Adopts the requirements of [record]. A change whose intent was sent for the earlier revision begins anew. */
+    fun adopt(reduction: Reduction, group: GroupView, record: FleetRecord.Group, revision: Revision) {
+        reduction.log(
+            "commit requirements",
+            "group" to group.name,
+            "replicas" to record.replicas,
+            "floor" to record.floor,
+            "revision" to revision,
+        )
+        reduction.put(withRecorded(group, record).copy(record = record, revision = revision, change = null))
+    }
+
+    /** Applies the requirements of [record], which a proxy has written that may know of other removals. */
+    fun withRecorded(group: GroupView, record: FleetRecord.Group): GroupView =
+        group.copy(
+            covered = group.covered intersect record.replicas,
+            departedFloor = listOfNotNull(group.departedFloor, record.floor).maxOrNull(),
+        )
+
+    /** Forgets the removals, which concern the log of an earlier term. */
+    fun withoutDepartures(group: GroupView): GroupView =
+        group.copy(departed = emptyMap(), covered = emptySet(), departedFloor = null)
+}
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/FleetEvents.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/FleetEvents.kt
@@ -4,7 +4,6 @@
 import dev.hibiscusreach.sessions.event.PeerRequestNumber
 import dev.hibiscusreach.sessions.event.SessionEffect
 import dev.hibiscusreach.sessions.event.SessionEvent
-import dev.hibiscusreach.sessions.event.WriteOutcome
 import dev.hibiscusreach.sessions.model.FleetKey
 import dev.hibiscusreach.sessions.model.GroupName
 import dev.hibiscusreach.sessions.model.PeerAnswer
@@ -18,7 +17,7 @@
         when (event) {
             is SessionEvent.FleetRead -> LeaseRenewal.read(reduction, event)
             is SessionEvent.FleetReadFailed -> LeaseRenewal.readFailed(reduction, event)
-            is SessionEvent.FleetWritten -> recordWritten(reduction, event.key, event.outcome)
+            is SessionEvent.FleetWritten -> recordWritten(reduction, event)
             is SessionEvent.PeerAsked -> peerAsked(reduction, event.number, event.request)
             is SessionEvent.PeerAnswered -> peerAnswered(reduction, event)
             is SessionEvent.StatementForwarded -> ForwardedArrivals.arrived(reduction, event)
@@ -43,12 +42,12 @@
         }
     }
 
-    private fun recordWritten(reduction: Reduction, key: FleetKey, outcome: WriteOutcome) {
-        val group = reduction.state.groups.keys.find { FleetKey.group(it) == key }
+    private fun recordWritten(reduction: Reduction, event: SessionEvent.FleetWritten) {
+        val group = reduction.state.groups.keys.find { FleetKey.group(it) == event.key }
         when {
-            key == FleetKey.PROMOTER -> PromoterLocking.handleWriteOutcome(reduction, outcome)
-            group != null -> PrimaryChanges.handleWriteOutcome(reduction, group, outcome)
-            else -> LeaseRenewal.written(reduction, key, outcome)
+            event.key == FleetKey.PROMOTER -> PromoterLocking.handleWriteOutcome(reduction, event.outcome)
+            group != null -> PrimaryChanges.handleWriteOutcome(reduction, group, event)
+            else -> LeaseRenewal.written(reduction, event.key, event.outcome)
         }
     }
 
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupMonitoring.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupMonitoring.kt
@@ -50,13 +50,14 @@
                     primary = server.name,
                     era = StoreEras.current(reduction),
                 )
+            val required = CommitRequirements.addTo(reduction, reduction.group(server.group), record)
             reduction.log(
                 "recording initial primary",
                 "group" to server.group,
                 "primary" to server.name,
                 "term" to status.term,
             )
-            reduction.emit(SessionEffect.WriteFleet(FleetKey.group(server.group), record, expectedRevision = null))
+            reduction.emit(SessionEffect.WriteFleet(FleetKey.group(server.group), required, expectedRevision = null))
         }
         return true
     }
@@ -99,6 +100,7 @@
         PrimaryFencing.settle(reduction, group.name)
         PrimaryFailureDetection.review(reduction, group.name)
         PrimaryChanges.advance(reduction, group.name)
+        CommitRequirements.review(reduction, reduction.group(group.name))
     }
 
     // A recent head position allows replicas to serve reads with bounded staleness, and shows that the primary answers.
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupRecordAdoption.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupRecordAdoption.kt
@@ -19,7 +19,12 @@
             known == null || record.epoch > known.epoch ||
                 record.epoch == known.epoch &&
                 (completesOrConfirms(known, record) || namesSuccessor(group, known, record, revision))
-        if (!newer) return
+        if (!newer) {
+            if (CommitRequirements.isUpdate(group, record, revision)) {
+                CommitRequirements.adopt(reduction, group, record, revision)
+            }
+            return
+        }
         reduction.log(
             "group record",
             "group" to name,
@@ -28,6 +33,8 @@
             "primary" to record.primary,
             "changedBy" to record.changedBy?.node,
             "successor" to record.successor,
+            "replicas" to record.replicas.takeIf { it.isNotEmpty() },
+            "floor" to record.floor,
             "revision" to revision,
         )
         val hasSamePrimary = known != null && known.primary == record.primary && known.term == record.term
@@ -42,7 +49,10 @@
             )
         // The new primary was checked before its promotion to hold all commits that departed replicas may have held.
         val replaced = known != null && known.term != record.term
-        val adopted = if (replaced) current.copy(departed = emptyMap(), departedFloor = null) else current
+        val adopted = CommitRequirements.withRecorded(
+            group = if (replaced) CommitRequirements.withoutDepartures(current) else current,
+            record = record,
+        )
         reduction.put(adopted)
         if (record.changedBy == null) {
             adoptStable(reduction, adopted, record, completesChange = known?.changedBy != null)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryChanges.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryChanges.kt
@@ -2,8 +2,10 @@
 
 import dev.hibiscusreach.sessions.event.SessionCounter
 import dev.hibiscusreach.sessions.event.SessionEffect
+import dev.hibiscusreach.sessions.event.SessionEvent
 import dev.hibiscusreach.sessions.event.WriteOutcome
 import dev.hibiscusreach.sessions.model.FleetKey
+import dev.hibiscusreach.sessions.model.FleetRecord
 import dev.hibiscusreach.sessions.model.GroupName
 import dev.hibiscusreach.sessions.model.PeerRequest
 import dev.hibiscusreach.sessions.model.Revision
@@ -30,7 +32,7 @@
                 successor = record.successor ?: StepDownRequests.laterPrimaries(reduction, record).firstOrNull(),
                 afterRestoration = record.afterRestoration || reason == ChangeReason.RESTORED,
             )
-        val intent = DepartedReplicas.withCommitRequirements(reduction, group, next)
+        val intent = CommitRequirements.addTo(reduction, group, next)
         reduction.log(
             "primary change begins",
             "group" to name,
@@ -47,12 +49,14 @@
         reduction.emit(SessionEffect.WriteFleet(FleetKey.group(name), intent, group.revision))
     }
 
-    /** Handles the outcome of a write of the group's record. */
-    fun handleWriteOutcome(reduction: Reduction, name: GroupName, outcome: WriteOutcome) {
+    /** Handles the outcome of a write of the group's record; one that the current phase hasn't sent changes nothing. */
+    fun handleWriteOutcome(reduction: Reduction, name: GroupName, event: SessionEvent.FleetWritten) {
         val group = reduction.group(name)
         val change = group.change
+        val outcome = event.outcome
         when {
             outcome !is WriteOutcome.Written -> LeaseRenewal.read(reduction)
+            event.record != null && event.record != sentRecord(group) -> LeaseRenewal.read(reduction)
             change?.phase == ChangePhase.RECORDING -> startFencing(reduction, group, change, outcome.revision)
             change?.phase == ChangePhase.RECORDING_SUCCESSOR ->
                 SuccessorRecording.handleWritten(reduction, group, change, outcome.revision)
@@ -62,6 +66,17 @@
         }
     }
 
+    // The record that the current phase of a change writes.
+    private fun sentRecord(group: GroupView): FleetRecord.Group? {
+        val change = group.change ?: return null
+        return when (change.phase) {
+            ChangePhase.RECORDING -> change.intent
+            ChangePhase.RECORDING_SUCCESSOR -> group.record?.copy(successor = change.successor)
+            ChangePhase.PUBLISHING -> change.published
+            else -> null
+        }
+    }
+
     /** Advances this proxy's change of the group, or checks the progress of another proxy's change. */
     fun advance(reduction: Reduction, name: GroupName) {
         val group = reduction.group(name)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryStatus.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PrimaryStatus.kt
@@ -64,7 +64,7 @@
         if (isReplaced || latest != null && latest.sentAt >= sentAt) return
         val head = HeadSample(sentAt, position)
         val heads = group.heads.add(head)
-        val updated = DepartedReplicas.applyHeadSample(group, head)
+        val updated = DepartedReplicas.applyHeadSample(reduction, group, head)
         reduction.put(updated.copy(heads = if (heads.size > MAX_HEAD_SAMPLES) heads.removeAt(0) else heads))
     }
 
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/FleetFixture.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/FleetFixture.kt
@@ -239,7 +239,7 @@
         val matches = store[effect.key]?.revision == effect.expectedRevision
         if (matches) put(effect.key, effect.record)
         val outcome = if (matches) WriteOutcome.Written(Revision(revision, era)) else WriteOutcome.Conflict
-        feed(node, SessionEvent.FleetWritten(effect.key, outcome))
+        feed(node, SessionEvent.FleetWritten(effect.key, outcome, effect.record))
     }
 
     /** A configuration with the routes of all groups, and those of [added] to the first group, but not of [removed]. */
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
@@ -337,7 +337,7 @@
         val leading = ServerStatus(ServerRole.PRIMARY, Term(1), Position(Term(1), 12))
         syncProxy.feed(SessionEvent.ControlAnswered(returned.name, ControlRequest.Pause(2), leading))
         val published = syncProxy.takeEffects().filterIsInstance<SessionEffect.WriteFleet>().map { it.record }
-        expectThat(published).contains(GROUP_RECORD.copy(epoch = 2, primary = returned.name))
+        expectThat(published).contains(GROUP_RECORD.copy(epoch = 2, primary = returned.name, replicas = replicas))
     }
 
     @Test
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/simulation/RestorationSimulation.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/simulation/RestorationSimulation.kt
@@ -288,7 +288,7 @@
         val answeredAfter = (arrival ?: SILENCE_MILLIS) + (answer ?: SILENCE_MILLIS)
         feedLater(node, minOf(answeredAfter, SILENCE_MILLIS)) {
             val isInTime = answeredAfter < SILENCE_MILLIS
-            SessionEvent.FleetWritten(effect.key, if (isInTime) outcome else WriteOutcome.Unknown)
+            SessionEvent.FleetWritten(effect.key, if (isInTime) outcome else WriteOutcome.Unknown, effect.record)
         }
     }
 
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/simulation/TenantFleet.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/simulation/TenantFleet.kt
@@ -442,7 +442,7 @@
             val matches = store[effect.key]?.revision == effect.expectedRevision
             if (matches) store[effect.key] = StoredRecord(effect.record, Revision(++order))
             val outcome = if (matches) WriteOutcome.Written(Revision(order)) else WriteOutcome.Conflict
-            reply(SessionEvent.FleetWritten(effect.key, outcome))
+            reply(SessionEvent.FleetWritten(effect.key, outcome, effect.record))
         }
     }
 
