--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangePublication.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ChangePublication.kt
@@ -17,7 +17,7 @@
     fun publish(reduction: Reduction, group: GroupView, change: PrimaryChange, primary: ServerName, term: Term) {
         val record = group.record ?: return
         val stable = FleetRecord.Group(record.group, record.epoch, term, primary, era = StoreEras.current(reduction))
-        val published = CommitRequirements.addToPublished(reduction, group, known = record, published = stable)
+        val published = CommitRequirements.addToPublished(reduction, group, change, published = stable)
         if (record.primary != primary) StepDownRequests.request(reduction, group.name, record.primary, term)
         if (SuccessorChoice.pausesReplicas(reduction, group, change)) resumeReplicas(reduction, group, primary)
         val next =
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/CommitRequirements.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/CommitRequirements.kt
@@ -5,6 +5,7 @@
 import dev.hibiscusreach.sessions.model.FleetRecord
 import dev.hibiscusreach.sessions.model.Revision
 import dev.hibiscusreach.sessions.state.GroupView
+import dev.hibiscusreach.sessions.state.PrimaryChange
 
 /**
  * Keeps in the group's record what a successor of its primary must have, where commits wait for replicas: the replicas
@@ -22,18 +23,25 @@
         return record.copy(replicas = replicas, floor = floor)
     }
 
-    /** Adds the requirements to the record that ends a change of primary. They last as long as the primary's term. */
+    /**
+     * Adds the requirements to the record that ends [change]. In the same term they stay. In a later one the primary may
+     * be the only server with the commits of the earlier terms, so that its own successor must reach its position.
+     */
     fun addToPublished(
         reduction: Reduction,
         group: GroupView,
-        known: FleetRecord.Group,
+        change: PrimaryChange,
         published: FleetRecord.Group,
-    ): FleetRecord.Group =
-        if (published.term == known.term) {
+    ): FleetRecord.Group {
+        val known = group.record
+        return if (known != null && published.term == known.term) {
             addTo(reduction, group, published.copy(replicas = known.replicas, floor = known.floor))
         } else {
-            addTo(reduction, withoutDepartures(group), published)
+            val position = change.statuses[published.primary]?.received
+            val promoted = withoutDepartures(group).copy(departedFloor = position)
+            addTo(reduction, promoted, published)
         }
+    }
 
     /** Writes the requirements to the record of [group] if they differ and no change of primary is in progress. */
     fun review(reduction: Reduction, known: GroupView) {
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/CommitRequirementsTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/CommitRequirementsTest.kt
@@ -144,6 +144,20 @@
         expectThat(stored.group.floor).isEqualTo(floor)
     }
 
+    @Test
+    fun `a new primary's successor must reach its position - guards against commits that only the new primary has`() {
+        stored = StoredRecord(GROUP_RECORD.copy(replicas = setOf(NEAR_REPLICA)), Revision(7))
+        val proxy = started(all - FAR_REPLICA)
+        proxy.run(6_000) {
+            val isNamed = stored.group.successor == NEAR_REPLICA
+            val role = if (isNamed) ServerRole.PRIMARY else ServerRole.REPLICA
+            val status = ServerStatus(role, if (isNamed) Term(2) else Term(1), Position(Term(1), 10))
+            if (stored.group.changedBy != null) proxy.feed(SessionEvent.ControlAnswered(NEAR_REPLICA, PAUSE, status))
+        }
+        expectThat(stored.group.primary).isEqualTo(NEAR_REPLICA)
+        expectThat(stored.group.floor).isEqualTo(Position(Term(1), 10))
+    }
+
     @Test
     fun `one proxy writes the requirements at first - guards against a write by every proxy`() {
         val proxy = started(all, proxies = 8)
