Keep the promoter lock while a request of its holder is unanswered

A proxy that replaces the primaries of two groups at once released the lock for the answer to its first request, while the second one was on its way.

Cause: the lock is one for all groups, and was released for the outcome of one, without a look at the others, nor at whose lock the record names. The confirmation of a release also counted as an acquisition if another group waited for the lock.

A proxy now knows of which groups its requests have no outcome, releases the lock after the last one and only if the record names it, and takes the record that was written for what it is.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/FleetEvents.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/FleetEvents.kt
@@ -45,9 +45,9 @@
     private fun recordWritten(reduction: Reduction, event: SessionEvent.FleetWritten) {
         val group = reduction.state.groups.keys.find { FleetKey.group(it) == event.key }
         when {
-            event.key == FleetKey.PROMOTER -> PromoterLocking.handleWriteOutcome(reduction, event.outcome)
+            event.key == FleetKey.PROMOTER -> PromoterLocking.handleWriteOutcome(reduction, event)
             group != null -> PrimaryChanges.handleWriteOutcome(reduction, group, event)
-            else -> LeaseRenewal.written(reduction, event.key, event.outcome)
+            else -> LeaseRenewal.written(reduction, event)
         }
     }
 
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/LeaseRenewal.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/LeaseRenewal.kt
@@ -80,11 +80,12 @@
     }
 
     /** Handles the outcome of a write to this proxy's own record or the promoter record. */
-    fun written(reduction: Reduction, key: FleetKey, outcome: WriteOutcome) {
-        if (outcome is WriteOutcome.Written && key == FleetKey.PROMOTER) {
+    fun written(reduction: Reduction, event: SessionEvent.FleetWritten) {
+        val outcome = event.outcome
+        if (outcome is WriteOutcome.Written && event.key == FleetKey.PROMOTER) {
             val fleet = reduction.state.fleet
-            val record = fleet.records[key]?.record ?: FleetRecord.Promoter(holder = null)
-            val records = fleet.records + (key to StoredRecord(record, outcome.revision))
+            val record = event.record ?: fleet.records[event.key]?.record ?: FleetRecord.Promoter(holder = null)
+            val records = fleet.records + (event.key to StoredRecord(record, outcome.revision))
             reduction.state = reduction.state.copy(fleet = fleet.copy(records = FleetRecords(records)))
         } else {
             HomeAssignment.recordWritten(reduction)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PromoterLocking.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PromoterLocking.kt
@@ -52,22 +52,27 @@
     }
 
     /** Handles the outcome of a write of the promoter's record; requests the promotion if the lock was acquired. */
-    fun handleWriteOutcome(reduction: Reduction, outcome: WriteOutcome) {
-        LeaseRenewal.written(reduction, FleetKey.PROMOTER, outcome)
+    fun handleWriteOutcome(reduction: Reduction, event: SessionEvent.FleetWritten) {
+        LeaseRenewal.written(reduction, event)
+        val outcome = event.outcome
+        val isRelease = (event.record as? FleetRecord.Promoter)?.let { it.holder == null } ?: false
         val group = reduction.state.groups.values.find { it.change?.phase == ChangePhase.ACQUIRING }
         val requested = group?.change?.promoterLock
-        if (outcome is WriteOutcome.Written && requested != null) {
+        if (outcome is WriteOutcome.Written && !isRelease && requested != null) {
             requestPromotion(reduction, group, group.change, requested.copy(token = outcome.revision.ordinal))
         }
     }
 
-    /** Releases the lock, then waits for the successor to lead, or looks for another one if it was rejected. */
+    /** Releases the lock once no request is unanswered, then waits for the successor to lead, or looks for another one if it was rejected. */
     fun handlePromotionOutcome(reduction: Reduction, event: SessionEvent.PromotionAnswered) {
+        val fleet = reduction.state.fleet
+        val unanswered = fleet.promotionsRequested - event.group
+        reduction.state = reduction.state.copy(fleet = fleet.copy(promotionsRequested = unanswered))
         val group = reduction.group(event.group)
-        val change = group.change ?: return
+        val change = group.change
         logOutcome(reduction, event, change)
-        if (change.phase != ChangePhase.PROMOTING || change.successor != event.server) return
         releaseLock(reduction)
+        if (change?.phase != ChangePhase.PROMOTING || change.successor != event.server) return
         when (event.outcome) {
             PromotionOutcome.ACCEPTED, PromotionOutcome.UNKNOWN -> {
                 val requested =
@@ -88,16 +93,16 @@
         }
     }
 
-    private fun logOutcome(reduction: Reduction, event: SessionEvent.PromotionAnswered, change: PrimaryChange) {
+    private fun logOutcome(reduction: Reduction, event: SessionEvent.PromotionAnswered, change: PrimaryChange?) {
         val isUnknown = event.outcome == PromotionOutcome.UNKNOWN
         reduction.log(
             if (isUnknown) "promotion without an answer" else "promotion answered",
             "group" to event.group,
             "successor" to event.server,
             "outcome" to event.outcome.name,
-            "fencingToken" to change.promoterLock?.token,
+            "fencingToken" to change?.promoterLock?.token,
             "epoch" to reduction.group(event.group).record?.epoch,
-            "millis" to (reduction.now - change.phaseSince),
+            "millis" to change?.let { reduction.now - it.phaseSince },
             level = if (isUnknown) LogLevel.WARN else LogLevel.INFO,
         )
     }
@@ -115,13 +120,21 @@
                 "fencingToken" to lock.token,
             )
             PrimaryChanges.enterPhase(reduction, group, change.copy(promoterLock = lock), ChangePhase.PROMOTING)
+            val fleet = reduction.state.fleet
+            val promotions = fleet.promotionsRequested + group.name
+            reduction.state = reduction.state.copy(fleet = fleet.copy(promotionsRequested = promotions))
             reduction.emit(SessionEffect.Promote(group.name, successor, lock.token))
         }
     }
 
+    // The lock is one for all groups: another holder's token must not reach the platform before this one's requests.
     private fun releaseLock(reduction: Reduction) {
-        val stored = reduction.state.fleet.records[FleetKey.PROMOTER] ?: return
-        val record = FleetRecord.Promoter(holder = null)
-        reduction.emit(SessionEffect.WriteFleet(FleetKey.PROMOTER, record, stored.revision))
+        val fleet = reduction.state.fleet
+        val stored = fleet.records[FleetKey.PROMOTER] ?: return
+        val isHeld = (stored.record as? FleetRecord.Promoter)?.holder == reduction.state.self.identity
+        if (isHeld && fleet.promotionsRequested.isEmpty()) {
+            val record = FleetRecord.Promoter(holder = null)
+            reduction.emit(SessionEffect.WriteFleet(FleetKey.PROMOTER, record, stored.revision))
+        }
     }
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
@@ -122,6 +122,8 @@
     val storeLost: Boolean = false,
     /** When the promoter record was first seen with its current revision. */
     val promoterSeenAt: MonotonicTime? = null,
+    /** Groups of which this proxy has requested a promotion that has no outcome yet. */
+    val promotionsRequested: Set<GroupName> = emptySet(),
     /** Peer requests to be answered from the next read, with their times of arrival. */
     val relays: Map<PeerRequestNumber, MonotonicTime> = emptyMap(),
     /** When each proxy was first seen as expelled; its lease has expired one lease duration later. */
