--- a/runtime/src/test/kotlin/dev/hibiscusreach/runtime/http/LateRequestTest.kt
+++ b/runtime/src/test/kotlin/dev/hibiscusreach/runtime/http/LateRequestTest.kt
@@ -18,8 +18,8 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * How the connection of a call without an answer ends, over loopback. After an orderly end the kernel goes on to deliver
- * what a partition holds up; after a reset it does not.
+ * How the connection of a call without an answer ends, over loopback. After an orderly end the kernel goes on to
+ * deliver what a partition holds up; after a reset it does not.
  */
 @Timeout(20)
 class LateRequestTest {
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/CommitRequirements.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/CommitRequirements.kt
@@ -24,8 +24,8 @@
     }
 
     /**
-     * Adds the requirements to the record that ends [change]. In the same term they stay. In a later one the primary may
-     * be the only server with the commits of the earlier terms, so that its own successor must reach its position.
+     * Adds the requirements to the record that ends [change]. In the same term they stay. In a later one the primary
+     * may be the only server with the commits of the earlier terms, so that its own successor must reach its position.
      */
     fun addToPublished(
         reduction: Reduction,
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PromoterLocking.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/PromoterLocking.kt
@@ -63,7 +63,10 @@
         }
     }
 
-    /** Releases the lock once no request is unanswered, then waits for the successor to lead, or looks for another one if it was rejected. */
+    /**
+     * Releases the lock once no request is unanswered. Then waits for the successor to lead, or looks for another one
+     * if it was rejected.
+     */
     fun handlePromotionOutcome(reduction: Reduction, event: SessionEvent.PromotionAnswered) {
         val fleet = reduction.state.fleet
         val unanswered = fleet.promotionsRequested - event.group
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/GroupView.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/GroupView.kt
@@ -40,9 +40,9 @@
     val changerSeenAt: MonotonicTime? = null,
     /** When removed replicas were first missing; kept until a later log position of the primary is known. */
     val departed: Map<ServerName, MonotonicTime> = emptyMap(),
-    /** Removed replicas that the record still names, although every commit that they may hold is at or before the floor. */
+    /** Removed replicas that the record still names, all of whose commits are at or before [departedFloor]. */
     val covered: Set<ServerName> = emptySet(),
-    /** When the commit requirements are written to the record unless another proxy does so before; null if they match. */
+    /** When the commit requirements are written to the record; null if it has them. */
     val requirementsDue: MonotonicTime? = null,
     /** Servers that were removed since the latest change of primary and have not returned. */
     val absent: Set<ServerName> = emptySet(),
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/CommitRequirementsTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/CommitRequirementsTest.kt
@@ -185,8 +185,8 @@
         val proxy = started(all)
         proxy.takeEffects()
         proxy.advanceTime(3_000)
-        val intent = proxy.takeEffects().filterIsInstance<SessionEffect.WriteFleet>().map { it.record as FleetRecord.Group }
-            .first { it.changedBy != null }
+        val written = proxy.takeEffects().filterIsInstance<SessionEffect.WriteFleet>().map { it.record }
+        val intent = written.filterIsInstance<FleetRecord.Group>().first { it.changedBy != null }
         val requirements = GROUP_RECORD.copy(replicas = both)
         val key = FleetKey.group(GROUP)
         proxy.feed(SessionEvent.FleetWritten(key, WriteOutcome.Written(Revision(8)), requirements))
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/SharedPromoterLockTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/SharedPromoterLockTest.kt
@@ -18,8 +18,8 @@
 import strikt.assertions.isNull
 
 /**
- * A proxy replaces the primaries of two groups at once under the one promoter lock. Once it is free, another proxy gets a
- * higher fencing token, and its request may reach the platform before one that is still on its way.
+ * A proxy replaces the primaries of two groups at once under the one promoter lock. Once it is free, another proxy gets
+ * a higher fencing token, and its request may reach the platform before one that is still on its way.
  */
 class SharedPromoterLockTest {
     private val fleet = FleetFixture(domains = 1, hostsPerDomain = 1, groups = 2)
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/primaries/PrimaryDisruptions.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/primaries/PrimaryDisruptions.kt
@@ -12,8 +12,8 @@
 import kotlin.random.Random
 
 /**
- * Replaces and crashes primaries in series while hosts are cut off from each other, the store and the promotions, paused,
- * killed and restarted.
+ * Replaces and crashes primaries in series while hosts are cut off from each other, the store and the promotions,
+ * paused, killed and restarted.
  */
 internal class PrimaryDisruptions(
     private val fleet: ProxyFleet,
--- a/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/processes/LoopbackRelay.kt
+++ b/systemtests/src/test/kotlin/dev/hibiscusreach/systemtests/processes/LoopbackRelay.kt
@@ -10,8 +10,9 @@
 import kotlin.concurrent.thread
 
 /**
- * Forwards loopback connections to the port [target], and holds back or loses what they carry when told to. Bytes that are
- * held back are delivered later, also if their sender has closed the connection meanwhile, but not if it has reset it.
+ * Forwards loopback connections to the port [target], and holds back or loses what they carry when told to. Bytes that
+ * are held back are delivered later, also if their sender has closed the connection meanwhile, but not if it has reset
+ * it.
  */
 internal class LoopbackRelay(private val target: Int) : AutoCloseable {
     private class Link(val near: Socket, val far: Socket) {
