Require the log that a replica had before it started again

A write was acknowledged after replica r had received it, while q received nothing. Concerns groups with `sync_replicas` 1.

Cause: a requirement named a replica, not the log that it had. An entry with another start was taken for the same log, also one that replaced a missing entry.

The record now tells the start of each replica's process. An entry with another start ends the log of the earlier process as a removal does, for the processes that see the restart and for those that start later, until the primary reports or a later position of it covers that log. A status from before the restart is discarded from a change in progress.

Two tests of PrimaryChangeTest compare whole records and now expect the starts in them; nothing else of their expectations changed. Records without starts have the same encoded form as before.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/FleetRecords.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/model/FleetRecords.kt
@@ -30,6 +30,11 @@
          * empty if commits do not wait for replicas.
          */
         val replicas: Set<ServerName> = emptySet(),
+        /**
+         * Starts of the processes whose logs [replicas] stands for, in Unix milliseconds. A replica that starts again
+         * has lost its log, so that the status of the later process does not stand for it.
+         */
+        val replicaStarts: Map<ServerName, Long> = emptyMap(),
         /** Minimum position of a successor's log; covers the commits of replicas that were removed from [replicas]. */
         val floor: Position? = null,
         /** Number of the store's era in which the record was written. */
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/CommitRequirements.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/CommitRequirements.kt
@@ -1,5 +1,6 @@
 package dev.hibiscusreach.sessions.part
 
+import dev.hibiscusreach.core.model.ServerName
 import dev.hibiscusreach.sessions.event.SessionEffect
 import dev.hibiscusreach.sessions.model.FleetKey
 import dev.hibiscusreach.sessions.model.FleetRecord
@@ -9,20 +10,25 @@
 
 /**
  * Keeps in the group's record what a successor of its primary must have, where commits wait for replicas: the replicas
- * that may be the only ones with an acknowledged commit, and the position that covers the removed ones. The record is
- * the only source of that for a process which starts after a replica was removed.
+ * that may be the only ones with an acknowledged commit, and the position that covers those whose log is gone. The
+ * record is the only source of that for a process which starts after a replica was removed or restarted.
  */
 internal object CommitRequirements {
     /** Adds to [record] the replicas that must report and the log position that the successor must reach. */
     fun addTo(reduction: Reduction, group: GroupView, record: FleetRecord.Group): FleetRecord.Group {
         if (!SuccessorChoice.isReplicationSynchronous(reduction, group)) return record
-        val present =
-            reduction.servers(group.name).map { it.name }.filter { reduction.state.servers[it]?.missingSince == null }
-        val replicas = record.replicas - group.covered + present + group.departed.keys - record.primary
+        val present = reduction.servers(group.name).filter { reduction.state.servers[it.name]?.missingSince == null }
+        val named = record.replicas - group.covered + present.map { it.name } + group.departed.keys - record.primary
+        val ended = group.departed.mapValues { it.value.startedAtMillis ?: record.replicaStarts[it.key] }
+        val starts = record.replicaStarts + present.associate { it.name to it.startedAtMillis } + ended
         val floor = listOfNotNull(record.floor, group.departedFloor).maxOrNull()
-        return record.copy(replicas = replicas, floor = floor)
+        return record.copy(replicas = named, replicaStarts = startsOf(named, starts), floor = floor)
     }
 
+    // In the order of the names, so that equal requirements have equal encodings.
+    private fun startsOf(names: Set<ServerName>, starts: Map<ServerName, Long?>): Map<ServerName, Long> =
+        names.sortedBy { it.value }.mapNotNull { name -> starts[name]?.let { name to it } }.toMap()
+
     /**
      * Adds the requirements to the record that ends [change]. In the same term they stay. In a later one the primary
      * may be the only server with the commits of the earlier terms, so that its own successor must reach its position.
@@ -35,7 +41,7 @@
     ): FleetRecord.Group {
         val known = group.record
         return if (known != null && published.term == known.term) {
-            addTo(reduction, group, published.copy(replicas = known.replicas, floor = known.floor))
+            addTo(reduction, group, withRequirementsOf(known, published))
         } else {
             val position = change.statuses[published.primary]?.received
             val promoted = withoutDepartures(group).copy(departedFloor = position)
@@ -68,6 +74,7 @@
             "commit requirements written",
             "group" to group.name,
             "replicas" to required.replicas,
+            "starts" to required.replicaStarts.values,
             "departed" to group.departed.keys,
             "floor" to required.floor,
             "revision" to group.revision,
@@ -79,11 +86,13 @@
     /** Whether [record] differs from the known record of a stable group in its requirements only, and is later. */
     fun isUpdate(group: GroupView, record: FleetRecord.Group, revision: Revision): Boolean {
         val known = group.record?.takeIf { it.changedBy == null } ?: return false
-        val hasOtherRequirements = known.replicas != record.replicas || known.floor != record.floor
-        val isSameOtherwise = known.copy(replicas = record.replicas, floor = record.floor) == record
-        return hasOtherRequirements && isSameOtherwise && revision > group.revision
+        val isSameOtherwise = withRequirementsOf(record, known) == record
+        return known != record && isSameOtherwise && revision > group.revision
     }
 
+    private fun withRequirementsOf(source: FleetRecord.Group, record: FleetRecord.Group): FleetRecord.Group =
+        record.copy(replicas = source.replicas, replicaStarts = source.replicaStarts, floor = source.floor)
+
     /** Adopts the requirements of [record]. A change whose intent was sent for the earlier revision begins anew. */
     fun adopt(reduction: Reduction, group: GroupView, record: FleetRecord.Group, revision: Revision) {
         reduction.log(
@@ -93,17 +102,26 @@
             "floor" to record.floor,
             "revision" to revision,
         )
-        reduction.put(withRecorded(group, record).copy(record = record, revision = revision, change = null))
+        val current = withRecorded(group, known = group.record, record = record)
+        reduction.put(current.copy(record = record, revision = revision, change = null))
     }
 
-    /** Applies the requirements of [record], which a proxy has written that may know of other removals. */
-    fun withRecorded(group: GroupView, record: FleetRecord.Group): GroupView =
+    /**
+     * Applies the requirements of [record]. The proxy that has written it may know of other departures than those that
+     * [known] was written for.
+     */
+    fun withRecorded(group: GroupView, known: FleetRecord.Group?, record: FleetRecord.Group): GroupView =
         group.copy(
-            covered = group.covered intersect record.replicas,
+            covered = group.covered.filter { namesSameProcess(it, known, record) }.toSet(),
             departedFloor = listOfNotNull(group.departedFloor, record.floor).maxOrNull(),
         )
 
-    /** Forgets the removals, which concern the log of an earlier term. */
+    private fun namesSameProcess(replica: ServerName, known: FleetRecord.Group?, record: FleetRecord.Group): Boolean {
+        val isSameStart = known?.replicaStarts?.get(replica) == record.replicaStarts[replica]
+        return replica in record.replicas && isSameStart
+    }
+
+    /** Forgets the departures, which concern the log of an earlier term. */
     fun withoutDepartures(group: GroupView): GroupView =
         group.copy(departed = emptyMap(), covered = emptySet(), departedFloor = null)
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupRecordAdoption.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupRecordAdoption.kt
@@ -51,6 +51,7 @@
         val replaced = known != null && known.term != record.term
         val adopted = CommitRequirements.withRecorded(
             group = if (replaced) CommitRequirements.withoutDepartures(current) else current,
+            known = known,
             record = record,
         )
         reduction.put(adopted)
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ServerRegistry.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ServerRegistry.kt
@@ -83,7 +83,7 @@
 
     private fun handleMissingEntry(reduction: Reduction, server: RegisteredServer) {
         reduction.log("server entry missing", "server" to server.name, "group" to server.group)
-        DepartedReplicas.markMissing(reduction, server)
+        DepartedReplicas.markDeparted(reduction, server)
     }
 
     private fun handleEntry(reduction: Reduction, before: RegisteredServer?, after: RegisteredServer) {
@@ -100,6 +100,7 @@
             (before.startedAtMillis != after.startedAtMillis || before.endpoint != after.endpoint)
         if (restarted) {
             closeUnheldConnections(reduction, after.name)
+            if (before.startedAtMillis != after.startedAtMillis) DepartedReplicas.markRestarted(reduction, before)
             OutlierEjection.restarted(reduction, after.name)
             SlowStart.begin(reduction, after.name)
             reduction.updateHealth(after.name) { it.copy(connectAfter = null, connectPause = null, silentSince = null) }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorChoice.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/SuccessorChoice.kt
@@ -100,9 +100,11 @@
         record: FleetRecord.Group,
         candidate: ServerName,
     ): Boolean {
-        val requiredReplicas = record.replicas + replicas(reduction, group).map { it.name }
+        val registered = replicas(reduction, group)
+        val requiredReplicas = record.replicas + registered.map { it.name }
+        val isEveryLogPresent = registered.all { DepartedReplicas.isRecordedStart(record, it) }
         val reachesFloor = record.floor == null || change.statuses.getValue(candidate).received >= record.floor
-        return reachesFloor && requiredReplicas.all { it in change.statuses }
+        return reachesFloor && isEveryLogPresent && requiredReplicas.all { it in change.statuses }
     }
 
     /** Whether the recorded primary has reported the primary role, so that the successor can catch up with it. */
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/GroupView.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/GroupView.kt
@@ -38,9 +38,9 @@
     val changerAskedAt: MonotonicTime? = null,
     /** When that proxy last answered that it runs and reaches the store. */
     val changerSeenAt: MonotonicTime? = null,
-    /** When removed replicas were first missing; kept until a later log position of the primary is known. */
-    val departed: Map<ServerName, MonotonicTime> = emptyMap(),
-    /** Removed replicas that the record still names, all of whose commits are at or before [departedFloor]. */
+    /** Replicas that were removed or restarted; kept until a later log position of the primary is known. */
+    val departed: Map<ServerName, Departure> = emptyMap(),
+    /** Earlier [departed] that the record still names, all of whose commits are at or before [departedFloor]. */
     val covered: Set<ServerName> = emptySet(),
     /** When the commit requirements are written to the record; null if it has them. */
     val requirementsDue: MonotonicTime? = null,
@@ -54,6 +54,14 @@
     val sightings: List<WaitingSighting> = emptyList(),
 )
 
+/** The end of a replica's process, and of the log that it had received. */
+data class Departure(
+    /** When the end was first known. */
+    val since: MonotonicTime,
+    /** Start of the process in Unix milliseconds; null if it is not known. */
+    val startedAtMillis: Long?,
+)
+
 /** A request to the home [prober] for the log position of a primary. */
 data class OutstandingPositionRequest(val number: Long, val prober: Endpoint, val askedAt: MonotonicTime)
 
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/CommitRequirementsTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/CommitRequirementsTest.kt
@@ -38,10 +38,14 @@
     private val both = setOf(NEAR_REPLICA, FAR_REPLICA)
     private var stored = StoredRecord(GROUP_RECORD, Revision(7))
 
-    private fun started(servers: Set<ServerName>, proxies: Int = 1): ProxyFixture {
+    private fun started(
+        servers: Set<ServerName>,
+        proxies: Int = 1,
+        restarted: Set<ServerName> = emptySet(),
+    ): ProxyFixture {
         val proxy = ProxyFixture(proxies, synchronousReplicas = 1)
         proxy.feed(SessionEvent.ConfigurationRead(proxy.configuration()))
-        proxy.readServers(servers)
+        proxy.readServers(servers, restarted)
         proxy.readStore()
         proxy.feed(SessionEvent.TimerFired(TimerSubject.GROUPS))
         proxy.openAll()
@@ -49,8 +53,11 @@
         return proxy
     }
 
-    private fun ProxyFixture.readServers(names: Set<ServerName>) =
-        feed(SessionEvent.ServersRead(SERVERS.filter { it.name in names }.associateBy { it.name }))
+    private fun ProxyFixture.readServers(names: Set<ServerName>, restarted: Set<ServerName> = emptySet()) {
+        val present = SERVERS.filter { it.name in names }
+        val entries = present.map { if (it.name in restarted) it.copy(startedAtMillis = LATER_START) else it }
+        feed(SessionEvent.ServersRead(entries.associateBy { it.name }))
+    }
 
     private fun ProxyFixture.readStore() {
         val others = records().filterKeys { it != FleetKey.group(GROUP) }
@@ -77,13 +84,22 @@
             carryOutWrites()
         }
 
-    /** Lets the primary be silent, and the near replica report that it has received the log up to [index]. */
-    private fun ProxyFixture.failPrimary(index: Long, millis: Long) =
+    /** Lets the primary be silent, and the [replicas] report that they have received the log up to [index]. */
+    private fun ProxyFixture.failPrimary(index: Long, millis: Long, replicas: Set<ServerName> = setOf(NEAR_REPLICA)) =
         run(millis) {
             val status = ServerStatus(ServerRole.REPLICA, Term(1), Position(Term(1), index))
-            if (stored.group.changedBy != null) feed(SessionEvent.ControlAnswered(NEAR_REPLICA, PAUSE, status))
+            if (stored.group.changedBy != null) {
+                replicas.forEach { feed(SessionEvent.ControlAnswered(it, PAUSE, status)) }
+            }
         }
 
+    /** Fails the primary, and expects that the change waits for another log although the [replicas] report. */
+    private fun ProxyFixture.expectNoSuccessor(replicas: Set<ServerName>) {
+        failPrimary(index = 9, millis = 8_000, replicas = replicas)
+        expectThat(stored.group.changedBy).isNotNull()
+        expectThat(stored.group.successor).isEqualTo(null)
+    }
+
     private val StoredRecord.group get() = record as FleetRecord.Group
 
     private val all = SERVERS.map { it.name }.toSet()
@@ -91,9 +107,7 @@
     @Test
     fun `a process that starts after a removal waits for the removed replica - guards against a lost commit`() {
         started(all).run(1_000)
-        started(all - FAR_REPLICA).failPrimary(index = 10, millis = 8_000)
-        expectThat(stored.group.changedBy).isNotNull()
-        expectThat(stored.group.successor).isEqualTo(null)
+        started(all - FAR_REPLICA).expectNoSuccessor(replicas = setOf(NEAR_REPLICA))
     }
 
     @Test
@@ -128,6 +142,53 @@
         expectThat(stored.group.replicas).isEqualTo(both)
     }
 
+    @Test
+    fun `a replica that started again does not stand for its earlier log - guards against a lost commit`() {
+        val proxy = started(all)
+        proxy.run(500)
+        proxy.readServers(all, restarted = setOf(FAR_REPLICA))
+        proxy.expectNoSuccessor(replicas = both)
+    }
+
+    @Test
+    fun `a replica that starts again during the change does not stand for its log - guards against a lost commit`() {
+        val proxy = started(all)
+        proxy.run(500)
+        proxy.failPrimary(index = 9, millis = 3_000, replicas = setOf(FAR_REPLICA))
+        expectThat(stored.group.changedBy).isNotNull()
+        proxy.readServers(all, restarted = setOf(FAR_REPLICA))
+        proxy.failPrimary(index = 9, millis = 5_000, replicas = both)
+        expectThat(stored.group.successor).isEqualTo(null)
+    }
+
+    @Test
+    fun `a process that starts after a restart of a replica waits for its log - guards against a lost commit`() {
+        started(all).run(1_000)
+        started(all, restarted = setOf(FAR_REPLICA)).expectNoSuccessor(replicas = both)
+    }
+
+    @Test
+    fun `a replica that left and came back without its log does not stand for it - guards against a lost commit`() {
+        val proxy = started(all)
+        proxy.run(300)
+        proxy.readServers(all - FAR_REPLICA)
+        proxy.run(300)
+        proxy.readServers(all, restarted = setOf(FAR_REPLICA))
+        proxy.expectNoSuccessor(replicas = both)
+    }
+
+    @Test
+    fun `a log that covers a restart is enough - guards against a needless outage after each restart of a replica`() {
+        val proxy = started(all)
+        proxy.run(500)
+        proxy.readServers(all, restarted = setOf(FAR_REPLICA))
+        proxy.run(1_000) { proxy.answerProbes() }
+        expectThat(stored.group.replicaStarts[FAR_REPLICA]).isEqualTo(LATER_START)
+        expectThat(stored.group.floor).isEqualTo(Position(Term(1), 10))
+        proxy.failPrimary(index = 10, millis = 5_000, replicas = both)
+        expectThat(stored.group.successor).isNotNull()
+    }
+
     @Test
     fun `a primary that is kept keeps the requirements - guards against their loss by a change without effect`() {
         val floor = Position(Term(1), 10)
@@ -196,6 +257,7 @@
 
     private companion object {
         const val STEP_MILLIS = 100L
+        const val LATER_START = 2L
         val PAUSE = ControlRequest.Pause(2)
     }
 }
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/PrimaryChangeTest.kt
@@ -265,6 +265,7 @@
 
     private val syncProxy = ProxyFixture(proxies = 1, synchronousReplicas = 1).ready()
     private val replicas = setOf(NEAR_REPLICA, FAR_REPLICA)
+    private val starts = SERVERS.filter { it.name in replicas }.associate { it.name to it.startedAtMillis }
 
     /** Lets [reporting] report their status in an unplanned change that this proxy carries out. */
     private fun reportDuringChange(intent: FleetRecord.Group, reporting: List<ServerName>) {
@@ -325,7 +326,12 @@
         syncProxy.advanceTime(200)
         val intents = syncProxy.takeEffects().filterIsInstance<SessionEffect.WriteFleet>().map { it.record }
         expectThat(intents).contains(
-            GROUP_RECORD.copy(epoch = 2, changedBy = syncProxy.peers.first(), replicas = replicas),
+            GROUP_RECORD.copy(
+                epoch = 2,
+                changedBy = syncProxy.peers.first(),
+                replicas = replicas,
+                replicaStarts = starts,
+            ),
         )
     }
 
@@ -337,7 +343,8 @@
         val leading = ServerStatus(ServerRole.PRIMARY, Term(1), Position(Term(1), 12))
         syncProxy.feed(SessionEvent.ControlAnswered(returned.name, ControlRequest.Pause(2), leading))
         val published = syncProxy.takeEffects().filterIsInstance<SessionEffect.WriteFleet>().map { it.record }
-        expectThat(published).contains(GROUP_RECORD.copy(epoch = 2, primary = returned.name, replicas = replicas))
+        val kept = GROUP_RECORD.copy(epoch = 2, primary = returned.name, replicas = replicas, replicaStarts = starts)
+        expectThat(published).contains(kept)
     }
 
     @Test
