--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/CommitRequirements.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/CommitRequirements.kt
@@ -44,7 +44,7 @@
             addTo(reduction, group, withRequirementsOf(known, published))
         } else {
             val position = change.statuses[published.primary]?.received
-            val promoted = withoutDepartures(group).copy(departedFloor = position)
+            val promoted = DepartedReplicas.forget(group).copy(departedFloor = position)
             addTo(reduction, promoted, published)
         }
     }
@@ -102,26 +102,7 @@
             "floor" to record.floor,
             "revision" to revision,
         )
-        val current = withRecorded(group, known = group.record, record = record)
+        val current = DepartedReplicas.applyRecord(group, known = group.record, record = record)
         reduction.put(current.copy(record = record, revision = revision, change = null))
     }
-
-    /**
-     * Applies the requirements of [record]. The proxy that has written it may know of other departures than those that
-     * [known] was written for.
-     */
-    fun withRecorded(group: GroupView, known: FleetRecord.Group?, record: FleetRecord.Group): GroupView =
-        group.copy(
-            covered = group.covered.filter { namesSameProcess(it, known, record) }.toSet(),
-            departedFloor = listOfNotNull(group.departedFloor, record.floor).maxOrNull(),
-        )
-
-    private fun namesSameProcess(replica: ServerName, known: FleetRecord.Group?, record: FleetRecord.Group): Boolean {
-        val isSameStart = known?.replicaStarts?.get(replica) == record.replicaStarts[replica]
-        return replica in record.replicas && isSameStart
-    }
-
-    /** Forgets the departures, which concern the log of an earlier term. */
-    fun withoutDepartures(group: GroupView): GroupView =
-        group.copy(departed = emptyMap(), covered = emptySet(), departedFloor = null)
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/DepartedReplicas.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/DepartedReplicas.kt
@@ -1,5 +1,6 @@
 package dev.hibiscusreach.sessions.part
 
+import dev.hibiscusreach.core.model.ServerName
 import dev.hibiscusreach.sessions.model.FleetRecord
 import dev.hibiscusreach.sessions.model.RegisteredServer
 import dev.hibiscusreach.sessions.state.Departure
@@ -88,4 +89,23 @@
             covered = (group.covered + covered) intersect recorded,
         )
     }
+
+    /**
+     * Applies the requirements of [record]. The proxy that has written it may know of other departures than those that
+     * [known] was written for.
+     */
+    fun applyRecord(group: GroupView, known: FleetRecord.Group?, record: FleetRecord.Group): GroupView =
+        group.copy(
+            covered = group.covered.filter { namesSameProcess(it, known, record) }.toSet(),
+            departedFloor = listOfNotNull(group.departedFloor, record.floor).maxOrNull(),
+        )
+
+    private fun namesSameProcess(replica: ServerName, known: FleetRecord.Group?, record: FleetRecord.Group): Boolean {
+        val hasSameStart = known?.replicaStarts?.get(replica) == record.replicaStarts[replica]
+        return replica in record.replicas && hasSameStart
+    }
+
+    /** Forgets the departures, which concern the log of an earlier term. */
+    fun forget(group: GroupView): GroupView =
+        group.copy(departed = emptyMap(), covered = emptySet(), departedFloor = null)
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupRecordAdoption.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/GroupRecordAdoption.kt
@@ -49,8 +49,8 @@
             )
         // The new primary was checked before its promotion to hold all commits that departed replicas may have held.
         val replaced = known != null && known.term != record.term
-        val adopted = CommitRequirements.withRecorded(
-            group = if (replaced) CommitRequirements.withoutDepartures(current) else current,
+        val adopted = DepartedReplicas.applyRecord(
+            group = if (replaced) DepartedReplicas.forget(current) else current,
             known = known,
             record = record,
         )
