--- a/runtime/src/test/kotlin/dev/hibiscusreach/runtime/Network.kt
+++ b/runtime/src/test/kotlin/dev/hibiscusreach/runtime/Network.kt
@@ -11,6 +11,6 @@
     return try {
         action(group)
     } finally {
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS)
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync()
     }
 }
--- a/runtime/src/test/kotlin/dev/hibiscusreach/runtime/http/LateRequestTest.kt
+++ b/runtime/src/test/kotlin/dev/hibiscusreach/runtime/http/LateRequestTest.kt
@@ -33,7 +33,7 @@
     @AfterEach
     fun stop() {
         server.close()
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS)
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync()
     }
 
     @Test
--- a/runtime/src/test/kotlin/dev/hibiscusreach/runtime/http/ResponseLimitTest.kt
+++ b/runtime/src/test/kotlin/dev/hibiscusreach/runtime/http/ResponseLimitTest.kt
@@ -39,7 +39,7 @@
     @AfterEach
     fun stop() {
         server.stop(0)
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS)
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync()
     }
 
     private fun get(path: String): HttpOutcome {
