--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpCall.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpCall.kt
@@ -49,6 +49,6 @@
     /** The response is longer than [maximumBytes]; the request was carried out. */
     data class TooLong(val maximumBytes: Int) : HttpOutcome
 
-    /** No complete response was received. */
-    data class Failed(val failure: ConnectionFailure) : HttpOutcome
+    /** No complete response was received, but [receivedBytes] of one. */
+    data class Failed(val failure: ConnectionFailure, val receivedBytes: Long = 0) : HttpOutcome
 }
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpClient.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpClient.kt
@@ -55,7 +55,7 @@
             connection?.close()
             idle.toList().forEach(HttpConnection::close)
             idle.clear()
-            exchange.end(HttpOutcome.Failed(ConnectionFailure.TIMED_OUT))
+            exchange.fail(ConnectionFailure.TIMED_OUT)
         }
 
         fun closeAll() = open.toList().forEach(HttpConnection::close)
@@ -65,6 +65,10 @@
             if (exchange == null) connection.close() else send(exchange, connection, reused = false)
         }
 
+        override fun received(connection: HttpConnection, bytes: Int) {
+            busy[connection]?.received(bytes)
+        }
+
         override fun answered(connection: HttpConnection, answer: HttpOutcome.Answered, reusable: Boolean) {
             val exchange = busy.remove(connection)
             if (exchange != null && reusable) reuse(connection) else connection.close()
@@ -80,7 +84,7 @@
                 // The same request would have the same response on another connection.
                 connection.receivedTooMuch -> exchange.end(HttpOutcome.TooLong(maximumResponseBytes))
                 exchange.isRetryable -> connect(exchange)
-                else -> exchange.end(HttpOutcome.Failed(failure))
+                else -> exchange.fail(failure)
             }
             if (open.size < MAXIMUM_CONNECTIONS) waiting.removeFirstOrNull()?.let(::connect)
         }
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpConnection.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpConnection.kt
@@ -3,10 +3,12 @@
 import dev.hibiscusreach.core.event.ConnectionFailure
 import dev.hibiscusreach.core.model.Endpoint
 import dev.hibiscusreach.core.model.Millis
+import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.SimpleChannelInboundHandler
@@ -32,6 +34,9 @@
         /** The TCP connection is established. */
         fun connected(connection: HttpConnection)
 
+        /** Some bytes of a response were received. */
+        fun received(connection: HttpConnection, bytes: Int) = Unit
+
         /** A complete response was received; [reusable] tells whether the server keeps the connection open. */
         fun answered(connection: HttpConnection, answer: HttpOutcome.Answered, reusable: Boolean)
 
@@ -54,7 +59,7 @@
         val connecting =
             SocketConnector.connect(group, endpoint, timeoutMillis) { channel ->
                 val aggregator = HttpObjectAggregator(maximumResponseBytes, true)
-                channel.pipeline().addLast(HttpClientCodec(), aggregator, this)
+                channel.pipeline().addLast(Receipts(), HttpClientCodec(), aggregator, this)
             }
         channel = connecting.channel()
         connecting.addListener { connectEnded(connecting) }
@@ -90,6 +95,13 @@
         channel.close()
     }
 
+    private inner class Receipts : ChannelInboundHandlerAdapter() {
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            if (message is ByteBuf) listener.received(this@HttpConnection, message.readableBytes())
+            context.fireChannelRead(message)
+        }
+    }
+
     override fun channelRead0(context: ChannelHandlerContext, response: FullHttpResponse) {
         if (response.decoderResult().isFailure) {
             context.close()
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpExchange.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpExchange.kt
@@ -1,5 +1,6 @@
 package dev.hibiscusreach.runtime.http
 
+import dev.hibiscusreach.core.event.ConnectionFailure
 import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
 
@@ -9,6 +10,9 @@
     private var ended = false
     var timeout: Future<*>? = null
 
+    /** Bytes of the response that were received on the connections of the call. */
+    private var receivedBytes = 0L
+
     /** Whether the call was sent on a connection that an earlier call had used. */
     var reused = false
 
@@ -19,6 +23,14 @@
     /** Whether to retry after a broken connection: a server may close an idle connection just as it is reused. */
     val isRetryable: Boolean get() = reused && call.repeatable && !ended
 
+    /** Notes that [bytes] of the response were received. */
+    fun received(bytes: Int) {
+        receivedBytes += bytes
+    }
+
+    /** Completes the exchange without a response. */
+    fun fail(failure: ConnectionFailure) = end(HttpOutcome.Failed(failure, receivedBytes))
+
     /** Completes the exchange with [outcome]; later calls have no effect. */
     fun end(outcome: HttpOutcome) {
         if (!ended) {
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ServerRegistry.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ServerRegistry.kt
@@ -14,7 +14,8 @@
     fun applyConfiguration(reduction: Reduction, configuration: RoutingConfiguration) {
         val before = reduction.state.configuration?.version
         if (before == null || configuration.version > before) {
-            reduction.state = reduction.state.copy(configuration = configuration)
+            reduction.state =
+                reduction.state.copy(configuration = configuration, configurationInForceSince = reduction.now)
             reduction.log(
                 "configuration in force",
                 "version" to configuration.version,
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionProxyState.kt
@@ -28,6 +28,8 @@
     val self: LocalProxy,
     val settings: SessionSettings = SessionSettings(),
     val configuration: RoutingConfiguration? = null,
+    /** When [configuration] came into force here; null before the first one. */
+    val configurationInForceSince: MonotonicTime? = null,
     /** When the latest read of the configuration was sent; versions that were accepted before are known. */
     val configurationConfirmedAt: MonotonicTime? = null,
     /** When the store itself was last asked because the configuration was too old; null before the first review. */
