--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ConfigurationFreshness.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ConfigurationFreshness.kt
@@ -93,8 +93,9 @@
             "sinceConfirmedMillis" to age(reduction)?.value,
             "source" to (reduction.state.fleet.source.peer ?: "store"),
         )
-        reduction.emit(SessionEffect.VerifyConfiguration)
-        // The servers are read from the same source, so what is known of them may be as old.
+        // The servers are read from the same source, so what is known of them may be as old. They are asked for first,
+        // because a configuration may take long on a slow link.
         reduction.emit(SessionEffect.ReadServers)
+        reduction.emit(SessionEffect.VerifyConfiguration)
     }
 }
