Limit reads of the store by their progress, not as a whole

Cause: a read of the store was given up 0.8 s after its wait, and a read through a peer 0.4 s after it, whether bytes arrived or not, and all of it was read again. The object has 243,815 bytes, 1.0 s at 2 Mbit/s. A late read through a peer closed the link, with all statements on it.

No event loop was late by 200 ms, and no decoding took more than 82 ms.

A call whose answer has not begun waits behind a long one.

--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpCall.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpCall.kt
@@ -25,11 +25,24 @@
      * arrived before is not withdrawn.
      */
     val mayArriveLate: Boolean = true,
+    /** How long an answer that has begun may take; null if all of it has to arrive within [timeout]. */
+    val answerLimit: AnswerLimit? = null,
+)
+
+/**
+ * Limits on an answer that has begun to arrive. A long answer on a slow link takes its time; a connection that has gone
+ * silent is left after [silence].
+ */
+class AnswerLimit(
+    /** Longest time between two bytes of the answer. */
+    val silence: Millis,
+    /** Longest time for the whole call. */
+    val whole: Millis,
 )
 
 /** Makes HTTP calls. */
 fun interface HttpCaller {
-    /** Makes [call]; [done] is called once, within the call's timeout. */
+    /** Makes [call]; [done] is called once, within the call's timeout or the limits on its answer. */
     fun call(call: HttpCall, done: (HttpOutcome) -> Unit)
 }
 
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpClient.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpClient.kt
@@ -12,6 +12,8 @@
 class HttpClient(
     group: EventLoopGroup,
     private val maximumResponseBytes: Int,
+    /** Bytes of a response that may be on their way; null for the system's default. */
+    private val receiveBufferBytes: Int? = null,
 ) : HttpCaller,
     AutoCloseable {
     private val executor = group.next()
@@ -21,8 +23,7 @@
         executor.execute {
             val destination = destinations.getOrPut(call.endpoint) { Destination(call.endpoint) }
             val exchange = HttpExchange(call, done)
-            exchange.timeout =
-                executor.schedule({ destination.timedOut(exchange) }, call.timeout.value, TimeUnit.MILLISECONDS)
+            exchange.limitTime(executor, { destination.receivesLongAnswer }) { destination.timedOut(exchange) }
             destination.begin(exchange)
         }
     }
@@ -58,6 +59,8 @@
             exchange.fail(ConnectionFailure.TIMED_OUT)
         }
 
+        val receivesLongAnswer: Boolean get() = busy.values.any(HttpExchange::isReceivingLongAnswer)
+
         fun closeAll() = open.toList().forEach(HttpConnection::close)
 
         override fun connected(connection: HttpConnection) {
@@ -65,10 +68,6 @@
             if (exchange == null) connection.close() else send(exchange, connection, reused = false)
         }
 
-        override fun received(connection: HttpConnection, bytes: Int) {
-            busy[connection]?.received(bytes)
-        }
-
         override fun answered(connection: HttpConnection, answer: HttpOutcome.Answered, reusable: Boolean) {
             val exchange = busy.remove(connection)
             if (exchange != null && reusable) reuse(connection) else connection.close()
@@ -94,12 +93,13 @@
             exchange.reused = false
             open += connection
             busy[connection] = exchange
-            connection.connect(executor, exchange.remainingMillis.toInt(), maximumResponseBytes)
+            connection.connect(executor, exchange.remainingMillis.toInt(), maximumResponseBytes, receiveBufferBytes)
         }
 
         private fun send(exchange: HttpExchange, connection: HttpConnection, reused: Boolean) {
             exchange.reused = reused
             connection.idleTimeout?.cancel(false)
+            connection.onReceived = exchange::received
             busy[connection] = exchange
             connection.send(exchange.call.message, resetsOnClose = !exchange.call.mayArriveLate)
         }
--- a/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpConnection.kt
+++ b/runtime/src/main/kotlin/dev/hibiscusreach/runtime/http/HttpConnection.kt
@@ -3,6 +3,7 @@
 import dev.hibiscusreach.core.event.ConnectionFailure
 import dev.hibiscusreach.core.model.Endpoint
 import dev.hibiscusreach.core.model.Millis
+import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
@@ -34,9 +35,6 @@
         /** The TCP connection is established. */
         fun connected(connection: HttpConnection)
 
-        /** Some bytes of a response were received. */
-        fun received(connection: HttpConnection, bytes: Int) = Unit
-
         /** A complete response was received; [reusable] tells whether the server keeps the connection open. */
         fun answered(connection: HttpConnection, answer: HttpOutcome.Answered, reusable: Boolean)
 
@@ -48,6 +46,9 @@
 
     /** Closes the connection when it has been idle for too long; set by the owner. */
     var idleTimeout: Future<*>? = null
+
+    /** Is told the number of bytes whenever some of a response arrive; set by the owner. */
+    var onReceived: (Int) -> Unit = {}
     private var finished = false
 
     /** Whether a response was longer than the limit, for which the connection is closed. */
@@ -55,9 +56,15 @@
         private set
 
     /** Starts to connect; the listener is notified of the result. */
-    fun connect(group: EventLoopGroup, timeoutMillis: Int, maximumResponseBytes: Int) {
+    fun connect(
+        group: EventLoopGroup,
+        timeoutMillis: Int,
+        maximumResponseBytes: Int,
+        receiveBufferBytes: Int? = null,
+    ) {
+        val adjust: Bootstrap.() -> Unit = { receiveBufferBytes?.let { option(ChannelOption.SO_RCVBUF, it) } }
         val connecting =
-            SocketConnector.connect(group, endpoint, timeoutMillis) { channel ->
+            SocketConnector.connect(group, endpoint, timeoutMillis, adjust) { channel ->
                 val aggregator = HttpObjectAggregator(maximumResponseBytes, true)
                 channel.pipeline().addLast(Receipts(), HttpClientCodec(), aggregator, this)
             }
@@ -97,7 +104,7 @@
 
     private inner class Receipts : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
-            if (message is ByteBuf) listener.received(this@HttpConnection, message.readableBytes())
+            if (message is ByteBuf) onReceived(message.readableBytes())
             context.fireChannelRead(message)
         }
     }
