Let readers read a long configuration for the others, at a start as well

Cause: each host listed the configuration at the store when it started, once more after a second without one, and again whenever it was 2.4 s old. The lists of a region of nine hosts take longer than that on the link between the regions, so that no read of the store was answered there in time: hosts of kildare-works had no byte of any read from 38.4 to 42.5 s.

Fix: at a start the configuration is read from the first source that is selected, so that it crosses the link between regions once for each reader. While the first read is on its way, it is not listed before the age limit.

--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEffect.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/event/SessionEffect.kt
@@ -80,6 +80,9 @@
     /** Reads all of the configuration from the store itself, even if its watches report no change. */
     data object VerifyConfiguration : SessionEffect
 
+    /** Reads the latest changes of the configuration through another reader than the usual one. */
+    data class ConfirmConfiguration(val peer: Endpoint) : SessionEffect
+
     /** Reads the latest changes of the servers' entries from the store itself. */
     data object ReadServers : SessionEffect
 
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ConfigurationFreshness.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/part/ConfigurationFreshness.kt
@@ -78,24 +78,29 @@
         return verifiedAt == null || reduction.now - verifiedAt < pause(reduction)
     }
 
-    // All hosts ask in an outage of the store, whose rate of calls does not grow with the fleet.
+    // All hosts ask in an outage of the store, whose rate of calls does not grow with the fleet. The first read has
+    // longer, since a reader may still be reading a long configuration itself.
     private fun pause(reduction: Reduction): Millis {
         val settings = reduction.settings.configuration
         val hosts = reduction.state.fleet.members.size
-        return maxOf(settings.verificationPause, Millis(hosts * settings.verificationPausePerHost.value))
+        val awaitsFirstRead = age(reduction) == null && reduction.state.fleet.source.since != null
+        val shortest = if (awaitsFirstRead) settings.ageLimit else settings.verificationPause
+        return maxOf(shortest, Millis(hosts * settings.verificationPausePerHost.value))
     }
 
     private fun verify(reduction: Reduction) {
+        val reader = LongConfiguration.readerToAsk(reduction)
         reduction.state = reduction.state.copy(configurationVerifiedAt = reduction.now)
         reduction.log(
             "configuration verified",
             "inForce" to reduction.state.configuration?.version,
             "sinceConfirmedMillis" to age(reduction)?.value,
             "source" to (reduction.state.fleet.source.peer ?: "store"),
+            "at" to (reader ?: "store"),
         )
         // The servers are read from the same source, so what is known of them may be as old. They are asked for first,
         // because a configuration may take long on a slow link.
         reduction.emit(SessionEffect.ReadServers)
-        reduction.emit(SessionEffect.VerifyConfiguration)
+        reduction.emit(reader?.let(SessionEffect::ConfirmConfiguration) ?: SessionEffect.VerifyConfiguration)
     }
 }
--- a/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
+++ b/sessions/src/main/kotlin/dev/hibiscusreach/sessions/state/SessionSettings.kt
@@ -39,6 +39,8 @@
     val verificationPause: Millis = 1.seconds,
     /** The pause is at least this long for each registered host, so that all hosts make 1,000 calls a second. */
     val verificationPausePerHost: Millis = 2.milliseconds,
+    /** Routes and tenants from which on a configuration is long, about 64 KiB; hosts then ask another reader first. */
+    val longConfigurationEntries: Int = 400,
 )
 
 /** Limits on statements. */
--- a/sessions/src/test/kotlin/dev/hibiscusreach/sessions/ConfigurationVerificationTest.kt
+++ b/sessions/src/test/kotlin/dev/hibiscusreach/sessions/ConfigurationVerificationTest.kt
@@ -97,6 +97,18 @@
         expectThat(started.takeEffects().count { it == SessionEffect.VerifyConfiguration }).isEqualTo(1)
     }
 
+    // Guards against a start of all hosts in which each of them lists a long configuration at the store.
+    @Test
+    fun `a proxy with a source waits for its first configuration as long as for a later one`() {
+        val started = ProxyFixture()
+        started.feed(SessionEvent.Started)
+        started.readFleet()
+        started.advanceTime(2_300)
+        expectThat(started.takeEffects().count { it == SessionEffect.VerifyConfiguration }).isEqualTo(0)
+        started.advanceTime(300)
+        expectThat(started.takeEffects().count { it == SessionEffect.VerifyConfiguration }).isEqualTo(1)
+    }
+
     private companion object {
         const val STEP_MILLIS = 100L
 
